--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+.PHONY: venv test demo demo-check bench capacity format
+
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --editable ".[dev]"
+	touch $@
+
+test: venv
+	$(VENV)/bin/ruff format --check src benches
+	$(VENV)/bin/ruff check src benches
+	$(VENV)/bin/mypy
+	$(PYTHON) -m pytest
+
+format: venv
+	$(VENV)/bin/ruff format src benches
+	$(VENV)/bin/ruff check --fix src benches
+
+demo: venv
+	$(PYTHON) -m galenaferry.demo
+
+demo-check: venv
+	$(PYTHON) -m galenaferry.demo --check
+
+bench: venv
+	$(PYTHON) benches/detection.py
+	$(PYTHON) benches/spreading.py
+	$(PYTHON) benches/latency.py
+
+capacity: venv
+	$(PYTHON) benches/capacity.py
--- /dev/null
+++ b/src/galenaferry/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet of HTTP proxies between callers and backend servers."""
--- /dev/null
+++ b/src/galenaferry/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration interface of a VM."""
--- /dev/null
+++ b/src/galenaferry/admin/messages.py
@@ -0,0 +1,42 @@
+"""Reading of requests to the administration interface."""
+
+from typing import Any
+
+from ..configuration.messages import Proposal, decode_edits
+
+LONGEST_ID = 100
+
+
+def read_proposal(change_id: str, body: Any) -> Proposal:
+    """Return the proposal in the JSON body of a request.
+
+    Raises
+    ------
+    ValueError
+        When a part is missing or of the wrong kind.
+    """
+    if not isinstance(body, dict):
+        raise ValueError("the body must be a JSON object")
+    if not 0 < len(change_id) <= LONGEST_ID:
+        raise ValueError(f"the id must have 1 to {LONGEST_ID} characters")
+    return Proposal(
+        id=change_id,
+        base=_whole(body, "base"),
+        author=_text(body, "author"),
+        reason=_text(body, "reason"),
+        edits=decode_edits(body.get("edits")),
+    )
+
+
+def _whole(body: dict[str, Any], key: str) -> int:
+    value = body.get(key)
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise ValueError(f"{key} must be a whole number")
+    return value
+
+
+def _text(body: dict[str, Any], key: str) -> str:
+    value = body.get(key)
+    if not isinstance(value, str) or not value.strip():
+        raise ValueError(f"{key} must be a text that is not empty")
+    return value
--- /dev/null
+++ b/src/galenaferry/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: their instances, the choice among them and connections."""
--- /dev/null
+++ b/src/galenaferry/backends/connection.py
@@ -0,0 +1,180 @@
+"""One connection to an instance, lent to one attempt at a time."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from ..clock import Millis
+from ..framing.messages import FramingError, ResponseHead
+from ..framing.responses import ResponseReader
+from ..network.loop import Loop
+from ..network.stream import Stream, connect
+
+
+class ConnectionOwner(Protocol):
+    """What a connection tells the attempt that it is lent to."""
+
+    def on_backend_connected(self) -> None:
+        """Handle that the request can be sent."""
+
+    def on_backend_head(self, head: ResponseHead) -> None:
+        """Handle the head of the response."""
+
+    def on_backend_body(self, data: bytes) -> None:
+        """Handle a part of the body."""
+
+    def on_backend_complete(self) -> None:
+        """Handle the end of the response."""
+
+    def on_backend_drained(self) -> None:
+        """Handle that more of the request's body can be sent."""
+
+    def on_backend_broken(self, reason: str) -> None:
+        """Handle the end of the connection before that of the response."""
+
+    def on_backend_bad(self, text: str) -> None:
+        """Handle a response that breaks the framing rules."""
+
+
+class BackendConnection:
+    """Connection that sends one request and reads one response at a time."""
+
+    __slots__ = (
+        "_bytes_before",
+        "_loop",
+        "_on_closed",
+        "_owner",
+        "_reader",
+        "_stream",
+        "is_open",
+        "is_reused",
+        "last_heard",
+        "on_idle_closed",
+    )
+
+    def __init__(
+        self, loop: Loop, address: tuple[str, int], on_closed: Callable[[], None]
+    ) -> None:
+        self._loop = loop
+        self._on_closed = on_closed
+        self._owner: ConnectionOwner | None = None
+        self._reader: ResponseReader | None = None
+        self._bytes_before = 0
+        self.is_open = True
+        self.is_reused = False
+        self.last_heard: Millis = loop.clock.now()
+        self.on_idle_closed: Callable[[BackendConnection], None] | None = None
+        self._stream: Stream = connect(loop, address, self)
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection has been made."""
+        return not self._stream.is_connecting
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether a byte of the present request could have left."""
+        return self._stream.bytes_sent > self._bytes_before
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether the sender should wait for ``on_backend_drained``."""
+        return self._stream.is_congested
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may follow the completed response."""
+        reader = self._reader
+        return (
+            self.is_open
+            and reader is not None
+            and reader.is_complete
+            and reader.is_persistent
+            and not reader.has_excess
+        )
+
+    def lend(self, owner: ConnectionOwner, is_head_request: bool) -> None:
+        """Bind the connection to an attempt."""
+        self._owner = owner
+        self._reader = ResponseReader(self, is_head_request)
+        self._bytes_before = self._stream.bytes_sent
+
+    def give_back(self) -> None:
+        """Unbind the connection; its next attempt finds it reused."""
+        self._owner = None
+        self.is_reused = True
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of the request."""
+        self._stream.write(data)
+
+    def pause(self) -> None:
+        """Stop receiving the response."""
+        self._stream.pause()
+
+    def resume(self) -> None:
+        """Receive the response again."""
+        self._stream.resume()
+
+    def close(self) -> None:
+        """Close the connection for good; no callback follows."""
+        self._owner = None
+        if self.is_open:
+            self.is_open = False
+            self._stream.close()
+            self._on_closed()
+
+    def on_connected(self) -> None:
+        """Tell the attempt that it can send (called by the stream)."""
+        self.last_heard = self._loop.clock.now()
+        if self._owner is not None:
+            self._owner.on_backend_connected()
+
+    def on_data(self, data: bytes) -> None:
+        """Parse bytes of the response (called by the stream)."""
+        owner, reader = self._owner, self._reader
+        if owner is None or reader is None:
+            self._close_idle()
+            return
+        self.last_heard = self._loop.clock.now()
+        try:
+            reader.feed(data)
+        except FramingError as error:
+            owner.on_backend_bad(error.text)
+
+    def on_drained(self) -> None:
+        """Ask for more of the request (called by the stream)."""
+        if self._owner is not None:
+            self._owner.on_backend_drained()
+
+    def on_ended(self, reason: str) -> None:
+        """Handle the end of the stream (called by the stream)."""
+        owner, reader = self._owner, self._reader
+        if owner is None or reader is None:
+            self._close_idle()
+            return
+        try:
+            if reason:
+                raise FramingError(502, reason)
+            reader.end()
+        except FramingError:
+            owner.on_backend_broken(reason or "closed early")
+
+    def on_response_head(self, head: ResponseHead) -> None:
+        """Pass on the head (called by the reader)."""
+        if self._owner is not None:
+            self._owner.on_backend_head(head)
+
+    def on_response_body(self, data: bytes) -> None:
+        """Pass on a part of the body (called by the reader)."""
+        if self._owner is not None:
+            self._owner.on_backend_body(data)
+
+    def on_response_complete(self) -> None:
+        """Pass on the end (called by the reader)."""
+        if self._owner is not None:
+            self._owner.on_backend_complete()
+
+    def _close_idle(self) -> None:
+        if self.on_idle_closed is not None:
+            self.on_idle_closed(self)
+        self.close()
--- /dev/null
+++ b/src/galenaferry/backends/directory.py
@@ -0,0 +1,139 @@
+"""The instances of every service, their pools and the candidates for work."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Final, Protocol
+
+from ..clock import Millis
+from ..configuration.policy import Policy
+from ..network.loop import Loop
+from .choice import Candidate, Candidates, Choice, choose, cold_weight
+from .messages import Instance, Load, Shares
+from .pool import InstancePool
+
+CONNECTION_RESERVE: Final = 0.9
+SLOT_OVERCOMMIT: Final = 4
+CACHE_MS: Final = 200.0
+
+
+class Weights(Protocol):
+    """Source of the health weights of a service's instances."""
+
+    def weights(
+        self, service: str, instances: tuple[Instance, ...], policy: Policy
+    ) -> dict[str, float]:
+        """Return the weight of every instance by address; 0 gets no work."""
+
+
+class Directory:
+    """Instances by service, with a pool for each that was used.
+
+    Parameters
+    ----------
+    loop : Loop
+    zone : str
+        Availability zone of this VM.
+    weights : Weights
+    random : Random
+    """
+
+    def __init__(self, loop: Loop, zone: str, weights: Weights, random: Random) -> None:
+        self._loop = loop
+        self._zone = zone
+        self._weights = weights
+        self._random = random
+        self._cache_by_service: dict[str, tuple[Millis, Candidates]] = {}
+        self._first_seen_by_address: dict[str, Millis] = {}
+        self._is_first_list = True
+        self.by_service: dict[str, tuple[Instance, ...]] = {}
+        self.pool_by_address: dict[str, InstancePool] = {}
+        self.live_vms = 1
+        self.on_capacity: Callable[[str], None] = lambda service: None
+
+    def replace(self, instances: Iterable[Instance]) -> None:
+        """Take over the newest VM list."""
+        by_service: dict[str, list[Instance]] = {}
+        now = self._loop.clock.now()
+        known = self._first_seen_by_address
+        seen: dict[str, Millis] = {}
+        for instance in instances:
+            by_service.setdefault(instance.service, []).append(instance)
+            start = -float("inf") if self._is_first_list else now
+            seen[instance.address] = known.get(instance.address, start)
+        self._first_seen_by_address = seen
+        self._is_first_list = False
+        self.by_service = {name: tuple(rows) for name, rows in by_service.items()}
+        self._cache_by_service.clear()
+        self._drop_pools(seen)
+
+    def forget_cache(self) -> None:
+        """Recompute candidates at their next use."""
+        self._cache_by_service.clear()
+
+    def choose(self, service: str, tried: frozenset[str], policy: Policy) -> Choice:
+        """Return the choice for the next attempt of a request."""
+        now = self._loop.clock.now()
+        candidates = self._candidates(service, policy, now)
+        shares = self.shares(policy)
+
+        def load_of(instance: Instance) -> Load:
+            return self.pool(instance).load(shares)
+
+        return choose(candidates, tried, load_of, now, self._random)
+
+    def shares(self, policy: Policy) -> Shares:
+        """Return this VM's part of an instance's connections and slots."""
+        usable = policy.connections_per_instance * CONNECTION_RESERVE
+        slots = policy.slots_per_instance * SLOT_OVERCOMMIT / self.live_vms
+        return Shares(
+            connections=max(1, int(usable / self.live_vms)),
+            slots=max(2, min(policy.slots_per_instance, int(slots + 0.5))),
+        )
+
+    def pool(self, instance: Instance) -> InstancePool:
+        """Return the pool of an instance."""
+        pool = self.pool_by_address.get(instance.address)
+        if pool is None:
+            service = instance.service
+            pool = InstancePool(self._loop, instance, lambda: self.on_capacity(service))
+            self.pool_by_address[instance.address] = pool
+        return pool
+
+    def close_idle(self) -> None:
+        """Close connections that were idle too long."""
+        for pool in self.pool_by_address.values():
+            pool.close_idle()
+
+    def is_cold(self, instance: Instance, policy: Policy) -> bool:
+        """Whether an instance is still within its cold start."""
+        return self._age(instance) < policy.cold_start_ms
+
+    def _age(self, instance: Instance) -> Millis:
+        first = self._first_seen_by_address.get(instance.address, 0.0)
+        return self._loop.clock.now() - first
+
+    def _candidates(self, service: str, policy: Policy, now: Millis) -> Candidates:
+        cached = self._cache_by_service.get(service)
+        if cached is not None and cached[0] > now:
+            return cached[1]
+        candidates = self._build_candidates(service, policy)
+        self._cache_by_service[service] = (now + CACHE_MS, candidates)
+        return candidates
+
+    def _build_candidates(self, service: str, policy: Policy) -> Candidates:
+        instances = self.by_service.get(service, ())
+        weight_by_address = self._weights.weights(service, instances, policy)
+        local: list[Candidate] = []
+        remote: list[Candidate] = []
+        for instance in instances:
+            weight = weight_by_address.get(instance.address, 0.0)
+            if weight <= 0.0 or instance.is_leaving:
+                continue
+            weight *= cold_weight(self._age(instance), policy.cold_start_ms)
+            group = local if instance.zone == self._zone else remote
+            group.append(Candidate(instance, weight))
+        return Candidates(tuple(local), tuple(remote))
+
+    def _drop_pools(self, seen: dict[str, Millis]) -> None:
+        for address in [a for a in self.pool_by_address if a not in seen]:
+            self.pool_by_address.pop(address).close_all_idle()
--- /dev/null
+++ b/src/galenaferry/backends/pool.py
@@ -0,0 +1,118 @@
+"""Connections to one instance and what this VM knows of its load."""
+
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from ..clock import Millis
+from ..network.loop import Loop
+from .connection import BackendConnection
+from .messages import Instance, Load, Shares
+from .window import Window
+
+PROOF_OF_LIFE_MS: Final = 1000.0
+LONGEST_IDLE_MS: Final = 20_000.0
+START_WINDOW: Final = 4
+
+
+class InstancePool:
+    """Connections to one instance.
+
+    Parameters
+    ----------
+    loop : Loop
+    instance : Instance
+    on_capacity : callable
+        Called when an instance may be able to take a waiting request.
+    """
+
+    def __init__(
+        self, loop: Loop, instance: Instance, on_capacity: Callable[[], None]
+    ) -> None:
+        self._loop = loop
+        self._on_capacity = on_capacity
+        self._idle: deque[BackendConnection] = deque()
+        self._open_count = 0
+        self._window = Window(START_WINDOW)
+        self.instance = instance
+        self.in_flight = 0
+        self.first_seen: Millis = loop.clock.now()
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return self._open_count
+
+    def load(self, shares: Shares) -> Load:
+        """Return the load as the choice of an instance needs it."""
+        window = self._window.size(min(shares.connections, shares.slots))
+        return Load(self.in_flight, window, self._window.paused_until)
+
+    def acquire(self, is_idempotent: bool, shares: Shares) -> BackendConnection:
+        """Return an idle connection or one that is being made.
+
+        A request that may not be repeated gets a connection with a recent
+        proof of life or a new one, since an old one may have gone silent.
+        """
+        self.in_flight += 1
+        connection = self._take_idle(is_idempotent)
+        if connection is not None:
+            return connection
+        if self._open_count >= shares.connections and self._idle:
+            self._idle.popleft().close()
+        self._open_count += 1
+        host, _, port = self.instance.address.rpartition(":")
+        return BackendConnection(self._loop, (host, int(port)), self._on_closed)
+
+    def release(self, connection: BackendConnection) -> None:
+        """Take back a connection whose exchange has ended in order."""
+        self.in_flight -= 1
+        if connection.is_open:
+            connection.on_idle_closed = self._forget
+            self._idle.append(connection)
+        self._on_capacity()
+
+    def discard(self, connection: BackendConnection) -> None:
+        """Close a connection whose exchange was given up on."""
+        self.in_flight -= 1
+        connection.close()
+        self._on_capacity()
+
+    def on_answer(self, shares: Shares) -> None:
+        """Count an answer that was no shed."""
+        self._window.on_answer(shares.slots)
+
+    def on_shed(self, random: Random) -> None:
+        """Count a shed."""
+        self._window.on_shed(self._loop.clock.now(), random)
+
+    def close_idle(self) -> None:
+        """Close connections that were idle too long."""
+        now = self._loop.clock.now()
+        while self._idle and now - self._idle[0].last_heard > LONGEST_IDLE_MS:
+            self._idle.popleft().close()
+
+    def close_all_idle(self) -> None:
+        """Close every idle connection."""
+        while self._idle:
+            self._idle.popleft().close()
+
+    def _take_idle(self, is_idempotent: bool) -> BackendConnection | None:
+        now = self._loop.clock.now()
+        longest = LONGEST_IDLE_MS if is_idempotent else PROOF_OF_LIFE_MS
+        while self._idle:
+            connection = self._idle[-1]
+            if now - connection.last_heard > longest:
+                return None
+            self._idle.pop()
+            if connection.is_open:
+                return connection
+        return None
+
+    def _forget(self, connection: BackendConnection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def _on_closed(self) -> None:
+        self._open_count -= 1
--- /dev/null
+++ b/src/galenaferry/clock.py
@@ -0,0 +1,48 @@
+"""Time in milliseconds: a monotonic reading for intervals and a wall reading."""
+
+import time
+from typing import Protocol
+
+Millis = float
+"""A point in time or an interval, in milliseconds."""
+
+
+class Clock(Protocol):
+    """Source of time for everything that measures intervals."""
+
+    def now(self) -> Millis:
+        """Return the monotonic time in milliseconds."""
+
+    def wall(self) -> Millis:
+        """Return the time since the Unix epoch in milliseconds."""
+
+
+class SystemClock:
+    """Clock of the operating system."""
+
+    def now(self) -> Millis:
+        """Return the monotonic time in milliseconds."""
+        return time.monotonic() * 1000.0
+
+    def wall(self) -> Millis:
+        """Return the time since the Unix epoch in milliseconds."""
+        return time.time() * 1000.0
+
+
+class FakeClock:
+    """Clock that a test moves by hand."""
+
+    def __init__(self, start: Millis = 0.0) -> None:
+        self.reading = start
+
+    def now(self) -> Millis:
+        """Return the reading set by the test."""
+        return self.reading
+
+    def wall(self) -> Millis:
+        """Return the reading set by the test."""
+        return self.reading
+
+    def advance(self, interval: Millis) -> None:
+        """Move the clock forward by ``interval`` milliseconds."""
+        self.reading += interval
--- /dev/null
+++ b/src/galenaferry/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet-wide defaults and exceptions: their text, versions and spreading."""
--- /dev/null
+++ b/src/galenaferry/configuration/acceptance.py
@@ -0,0 +1,198 @@
+"""Acceptance of a proposal: one conditional write decides the order.
+
+The row of the proposal's id is written in the same transaction as the change.
+A write whose answer was lost is asked again: it either takes effect now, or its
+id is found to be there already. Reading that the id is absent would prove
+nothing, since the first write may still be on its way.
+"""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err, Result
+
+from ..clock import Millis
+from ..findings import Finding
+from ..network.loop import Loop
+from ..platform.client import PlatformClient
+from ..platform.messages import (
+    ABSENT,
+    Committed,
+    Condition,
+    Conflict,
+    PlatformError,
+    Put,
+    Row,
+    Transaction,
+)
+from .document import check_sections, edited
+from .messages import Change, Head, Proposal, encode_change, make_change
+from .state import ConfigurationStore
+
+HEAD_KEY: Final = "configuration/head"
+CHANGE_PREFIX: Final = "configuration/change/"
+ID_PREFIX: Final = "configuration/id/"
+RETRY_MS: Final = 300.0
+GIVE_UP_MS: Final = 30_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The proposal is version ``version`` for good."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Clashing:
+    """Later changes touch the same keys; nothing was written."""
+
+    changes: tuple[Change, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The configuration would not pass its checks; nothing was written."""
+
+    findings: tuple[Finding, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Undecided:
+    """The platform has not answered yet; asking again tells the truth."""
+
+    reason: str
+
+
+Decision = Accepted | Clashing | Refused | Undecided
+
+
+def change_key(version: int) -> str:
+    """Return the key of a change's row; keys sort like versions."""
+    return f"{CHANGE_PREFIX}{version:012d}"
+
+
+def encode_head(head: Head) -> str:
+    """Return the text of the head's row."""
+    return json.dumps({"version": head.version, "digest": head.digest})
+
+
+def decode_head(text: str) -> Head:
+    """Return the head in the text of its row.
+
+    Raises
+    ------
+    ValueError
+        When the text is no head.
+    """
+    try:
+        data = json.loads(text)
+        return Head(int(data["version"]), str(data["digest"]))
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a head: {error!r}") from None
+
+
+class Acceptance:
+    """One proposal on its way into the platform's table.
+
+    Parameters
+    ----------
+    loop : Loop
+    platform : PlatformClient
+    store : ConfigurationStore
+    proposal : Proposal
+    catch_up : callable
+        Reads newer changes into the store, then calls its argument.
+    done : callable
+        Called with every decision; the last one is not ``Undecided``.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        platform: PlatformClient,
+        store: ConfigurationStore,
+        proposal: Proposal,
+        catch_up: Callable[[Callable[[], None]], None],
+        done: Callable[[Decision], None],
+    ) -> None:
+        self._loop = loop
+        self._platform = platform
+        self._store = store
+        self._proposal = proposal
+        self._catch_up = catch_up
+        self._done = done
+        self._gives_up_at: Millis = loop.clock.now() + GIVE_UP_MS
+        self._sent: Change | None = None
+
+    def begin(self) -> None:
+        """Look whether the id is known, then write."""
+        key = ID_PREFIX + self._proposal.id
+        self._platform.read(key, self._on_id)
+
+    def _on_id(self, result: Result[Row | None, PlatformError]) -> None:
+        if isinstance(result, Err):
+            self._try_later(result.err_value.text)
+        elif result.ok_value is not None:
+            self._done(Accepted(int(result.ok_value.value)))
+        else:
+            self._catch_up(self._read_head)
+
+    def _read_head(self) -> None:
+        self._platform.read(HEAD_KEY, self._on_head)
+
+    def _on_head(self, result: Result[Row | None, PlatformError]) -> None:
+        if isinstance(result, Err):
+            self._try_later(result.err_value.text)
+            return
+        row = result.ok_value
+        head = decode_head(row.value) if row is not None else Head(0, "")
+        if head != self._store.head:
+            self._try_later("this VM has not caught up with the newest version")
+            return
+        self._write(row.revision if row is not None else ABSENT)
+
+    def _write(self, revision: int) -> None:
+        store, proposal = self._store, self._proposal
+        clashes = store.clashes(proposal)
+        if clashes is None or proposal.base > store.head.version:
+            self._done(Clashing(()))
+            return
+        if clashes:
+            self._done(Clashing(tuple(clashes)))
+            return
+        findings = check_sections(edited(store.sections, proposal.edits))
+        if findings:
+            self._done(Refused(tuple(findings)))
+            return
+        change = make_change(store.head, proposal, self._loop.clock.wall())
+        self._sent = change
+        id_key = ID_PREFIX + proposal.id
+        transaction = Transaction(
+            conditions=(Condition(HEAD_KEY, revision), Condition(id_key, ABSENT)),
+            puts=(
+                Put(HEAD_KEY, encode_head(Head(change.version, change.digest))),
+                Put(change_key(change.version), encode_change(change)),
+                Put(id_key, str(change.version)),
+            ),
+        )
+        self._platform.commit(transaction, self._on_commit)
+
+    def _on_commit(self, result: Result[Committed | Conflict, PlatformError]) -> None:
+        if isinstance(result, Err):
+            self._try_later(result.err_value.text)
+            return
+        match result.ok_value:
+            case Committed():
+                assert self._sent is not None
+                version = self._sent.version
+                self._catch_up(lambda: self._done(Accepted(version)))
+            case Conflict():
+                self.begin()
+
+    def _try_later(self, reason: str) -> None:
+        self._done(Undecided(reason))
+        if self._loop.clock.now() < self._gives_up_at:
+            self._loop.after(RETRY_MS, self.begin)
--- /dev/null
+++ b/src/galenaferry/configuration/component.py
@@ -0,0 +1,261 @@
+"""The configuration of this VM: reading, spreading and accepting changes."""
+
+import json
+from collections.abc import Callable
+from random import Random
+from typing import Any, Final
+
+from circuits import BaseComponent, Event
+from result import Err, Result
+
+from ..clock import Millis
+from ..logs import logger
+from ..network.loop import Loop
+from ..platform.client import PlatformClient
+from ..platform.messages import PlatformError, Row
+from .acceptance import (
+    CHANGE_PREFIX,
+    HEAD_KEY,
+    Acceptance,
+    Accepted,
+    Decision,
+    Undecided,
+    change_key,
+    decode_head,
+)
+from .document import render
+from .freshness import ConfigurationLease
+from .messages import Change, Head, Proposal, decode_change
+from .spreading import PeersOf, Pull, Push, Send, Spreader
+from .state import Adoption, ConfigurationStore
+
+FLEET_READS_PER_SECOND: Final = 200.0
+SHORTEST_POLL_MS: Final = 1000.0
+CHANGES_PER_SCAN: Final = 200
+SNAPSHOT_EVERY: Final = 100
+SNAPSHOT_NAME: Final = "configuration/snapshot"
+DECISIONS_KEPT: Final = 256
+
+log = logger("configuration")
+
+
+class configuration_changed(Event):
+    """A newer configuration is in force."""
+
+
+class ConfigurationComponent(BaseComponent):
+    """Keeps the newest accepted configuration in force.
+
+    Parameters
+    ----------
+    loop : Loop
+    platform : PlatformClient
+    peers : callable
+        Gives random addresses of live VMs.
+    send : callable
+        Sends a message to another VM.
+    random : Random
+    """
+
+    channel = "configuration"
+
+    def __init__(
+        self,
+        loop: Loop,
+        platform: PlatformClient,
+        peers: PeersOf,
+        send: Callable[[str, Push | Pull], None],
+        random: Random,
+    ) -> None:
+        super().__init__()
+        self._loop = loop
+        self._platform = platform
+        self._send = send
+        self._random = random
+        self._is_reading = False
+        self._read_started: Millis = 0.0
+        self._after_reading: list[Callable[[], None]] = []
+        self._decision_by_id: dict[str, Decision] = {}
+        self.alarms: list[str] = []
+        self.store = ConfigurationStore()
+        self.lease = ConfigurationLease(loop.clock.now())
+        self.fleet_size = 1
+        self.in_force_since: Millis = 0.0
+        self._spreader = Spreader(self.store, peers, random)
+        self._poll()
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether any state of the table is known, an empty one included."""
+        return self.store.head.version > 0 or self.lease.is_held(
+            self._loop.clock.now(), self.fleet_size
+        )
+
+    def propose(self, proposal: Proposal) -> Decision:
+        """Start to accept a proposal, or tell what has become of it."""
+        known = self._decision_by_id.get(proposal.id)
+        if known is not None:
+            return known
+        undecided = Undecided("asking the platform")
+        self._decision_by_id[proposal.id] = undecided
+        while len(self._decision_by_id) > DECISIONS_KEPT:
+            self._decision_by_id.pop(next(iter(self._decision_by_id)))
+        Acceptance(
+            self._loop,
+            self._platform,
+            self.store,
+            proposal,
+            self._catch_up,
+            lambda decision: self._decide(proposal, decision),
+        ).begin()
+        return undecided
+
+    def decision(self, change_id: str) -> Decision | None:
+        """Return what has become of a proposal made at this VM."""
+        return self._decision_by_id.get(change_id)
+
+    def on_head(self, sender: str, head: Head) -> None:
+        """Compare the version that another VM has."""
+        self._send_all(self._spreader.on_head(sender, head, self._loop.clock.now()))
+
+    def on_push(self, sender: str, push: Push) -> None:
+        """Take changes from another VM."""
+        received = self._spreader.on_push(sender, push, self._loop.clock.now())
+        if received.is_fork:
+            self._alarm(f"{sender} offers another history of the configuration")
+        if received.adopted:
+            self._on_adopted()
+        self._send_all(received.sends)
+
+    def on_pull(self, sender: str, pull: Pull) -> None:
+        """Give changes to another VM."""
+        self._send_all(self._spreader.on_pull(sender, pull))
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON data."""
+        now = self._loop.clock.now()
+        return {
+            "version": self.store.head.version,
+            "digest": self.store.head.digest,
+            "in_force_for_ms": int(now - self.in_force_since),
+            "freshness": self.lease.freshness(now)._asdict(),
+            "is_lease_held": self.lease.is_held(now, self.fleet_size),
+            "alarms": self.alarms[-10:],
+            "text": render(self.store.sections),
+        }
+
+    def _poll(self) -> None:
+        """Read the table now and then; the whole fleet keeps to its read budget."""
+        self._catch_up(lambda: None)
+        share = self.fleet_size / FLEET_READS_PER_SECOND * 1000.0
+        interval = max(SHORTEST_POLL_MS, share)
+        self._loop.after(interval * (0.8 + 0.4 * self._random.random()), self._poll)
+
+    def _catch_up(self, then: Callable[[], None]) -> None:
+        self._after_reading.append(then)
+        if not self._is_reading:
+            self._is_reading = True
+            self._read_started = self._loop.clock.now()
+            self._platform.read(HEAD_KEY, self._on_head_row)
+
+    def _on_head_row(self, result: Result[Row | None, PlatformError]) -> None:
+        if isinstance(result, Err):
+            self.lease.on_read_failed()
+            self._end_reading()
+            return
+        row = result.ok_value
+        head = decode_head(row.value) if row is not None else Head(0, "")
+        mine = self.store.head
+        if head == mine:
+            self.lease.on_read(self._read_started)
+            self._end_reading()
+        elif head.version > mine.version:
+            self._read_changes()
+        else:
+            self._alarm(f"the table offers version {head.version}, below {mine}")
+            self._end_reading()
+
+    def _read_changes(self) -> None:
+        version = self.store.head.version
+        if version == 0:
+            self._platform.get_object(SNAPSHOT_NAME, self._on_snapshot)
+            return
+        self._scan()
+
+    def _on_snapshot(self, result: Result[str | None, PlatformError]) -> None:
+        if not isinstance(result, Err) and result.ok_value is not None:
+            data = json.loads(result.ok_value)
+            head = Head(int(data["version"]), str(data["digest"]))
+            if self.store.load(head, data["sections"]):
+                self._on_adopted()
+        self._scan()
+
+    def _scan(self) -> None:
+        after = change_key(self.store.head.version)
+        self._platform.scan(CHANGE_PREFIX, after, CHANGES_PER_SCAN, self._on_rows)
+
+    def _on_rows(self, result: Result[list[Row], PlatformError]) -> None:
+        if isinstance(result, Err):
+            self.lease.on_read_failed()
+            self._end_reading()
+            return
+        rows = result.ok_value
+        adopted = self._adopt_rows(rows)
+        if adopted:
+            self._on_adopted()
+            self._send_all(self._spreader.announce(adopted))
+        if len(rows) == CHANGES_PER_SCAN and adopted:
+            self._scan()
+            return
+        self.lease.on_read(self._read_started)
+        self._end_reading()
+
+    def _adopt_rows(self, rows: list[Row]) -> list[Change]:
+        adopted = []
+        for row in rows:
+            change = decode_change(row.value)
+            match self.store.adopt(change):
+                case Adoption.ADOPTED:
+                    adopted.append(change)
+                case Adoption.FORK | Adoption.GAP:
+                    self._alarm(f"the table's change {change.version} does not follow")
+                    break
+        return adopted
+
+    def _end_reading(self) -> None:
+        self._is_reading = False
+        waiting, self._after_reading = self._after_reading, []
+        for then in waiting:
+            then()
+
+    def _decide(self, proposal: Proposal, decision: Decision) -> None:
+        self._decision_by_id[proposal.id] = decision
+        log.info("proposal decided", id=proposal.id, decision=repr(decision))
+        if isinstance(decision, Accepted) and decision.version % SNAPSHOT_EVERY == 0:
+            self._write_snapshot()
+
+    def _on_adopted(self) -> None:
+        self.in_force_since = self._loop.clock.now()
+        head = self.store.head
+        log.info("configuration in force", version=head.version)
+        self.fire(configuration_changed())
+
+    def _write_snapshot(self) -> None:
+        head = self.store.head
+        text = json.dumps(
+            {
+                "version": head.version,
+                "digest": head.digest,
+                "sections": self.store.sections,
+            }
+        )
+        self._platform.put_object(SNAPSHOT_NAME, text, lambda result: None)
+
+    def _send_all(self, sends: list[Send]) -> None:
+        for send in sends:
+            self._send(send.address, send.message)
+
+    def _alarm(self, text: str) -> None:
+        if not self.alarms or self.alarms[-1] != text:
+            log.error(text)
+            self.alarms.append(text)
--- /dev/null
+++ b/src/galenaferry/configuration/messages.py
@@ -0,0 +1,147 @@
+"""Versions and changes of the configuration."""
+
+import hashlib
+import json
+from typing import NamedTuple, TypedDict
+
+
+class Edit(NamedTuple):
+    """A new text for one key of one section; None removes the key."""
+
+    section: str
+    key: str
+    value: str | None
+
+
+class Proposal(NamedTuple):
+    """A change as an operator proposes it.
+
+    ``id`` names the change for good: asking again with the same id never
+    applies it twice. ``base`` is the version that the edits were made from.
+    """
+
+    id: str
+    base: int
+    author: str
+    reason: str
+    edits: tuple[Edit, ...]
+
+
+class Change(NamedTuple):
+    """An accepted change; ``digest`` covers it and all changes before it."""
+
+    version: int
+    id: str
+    author: str
+    reason: str
+    accepted_at: float
+    edits: tuple[Edit, ...]
+    digest: str
+
+
+class Head(NamedTuple):
+    """The newest version and its digest."""
+
+    version: int
+    digest: str
+
+
+class ChangeRow(TypedDict):
+    """A change as JSON."""
+
+    version: int
+    id: str
+    author: str
+    reason: str
+    accepted_at: float
+    edits: list[list[str | None]]
+    digest: str
+
+
+EMPTY_HEAD = Head(0, "")
+
+
+def chain_digest(
+    previous: str, version: int, change_id: str, edits: tuple[Edit, ...]
+) -> str:
+    """Return the digest of a change that follows the digest ``previous``."""
+    text = json.dumps([previous, version, change_id, edits])
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+
+
+def make_change(head: Head, proposal: Proposal, accepted_at: float) -> Change:
+    """Return the change that puts ``proposal`` after ``head``."""
+    version = head.version + 1
+    return Change(
+        version=version,
+        id=proposal.id,
+        author=proposal.author,
+        reason=proposal.reason,
+        accepted_at=accepted_at,
+        edits=proposal.edits,
+        digest=chain_digest(head.digest, version, proposal.id, proposal.edits),
+    )
+
+
+def encode_change(change: Change) -> str:
+    """Return a change as one line of JSON."""
+    return json.dumps(change_row(change), separators=(",", ":"))
+
+
+def change_row(change: Change) -> ChangeRow:
+    """Return a change as JSON data."""
+    return ChangeRow(
+        version=change.version,
+        id=change.id,
+        author=change.author,
+        reason=change.reason,
+        accepted_at=change.accepted_at,
+        edits=[[edit.section, edit.key, edit.value] for edit in change.edits],
+        digest=change.digest,
+    )
+
+
+def decode_change(text: str) -> Change:
+    """Return the change in one line of JSON.
+
+    Raises
+    ------
+    ValueError
+        When the text is no change.
+    """
+    try:
+        row = json.loads(text)
+        return Change(
+            version=int(row["version"]),
+            id=str(row["id"]),
+            author=str(row["author"]),
+            reason=str(row["reason"]),
+            accepted_at=float(row["accepted_at"]),
+            edits=decode_edits(row["edits"]),
+            digest=str(row["digest"]),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"not a change: {error!r}") from None
+
+
+def decode_edits(rows: object) -> tuple[Edit, ...]:
+    """Return edits from JSON data.
+
+    Raises
+    ------
+    ValueError
+        When a row is no edit.
+    """
+    if not isinstance(rows, list):
+        raise ValueError("edits must be a list")
+    return tuple(_decode_edit(row) for row in rows)
+
+
+def _decode_edit(row: object) -> Edit:
+    if not isinstance(row, list) or len(row) != 3:
+        raise ValueError("an edit is [section, key, text or null]")
+    section, key, value = row
+    is_text = isinstance(section, str) and isinstance(key, str)
+    if not is_text or not (value is None or isinstance(value, str)):
+        raise ValueError("an edit is [section, key, text or null]")
+    return Edit(section, key, value)
--- /dev/null
+++ b/src/galenaferry/configuration/policy.py
@@ -0,0 +1,61 @@
+"""What the configuration says of one service, route, zone or instance."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, Final, NamedTuple
+
+from ..ini import parse_choice, parse_whole
+
+BY_METHOD: Final = "by-method"
+REFUSE: Final = "refuse"
+WAIT: Final = "wait"
+
+
+class Policy(NamedTuple):
+    """All values that defaults give and exceptions replace.
+
+    Times are in milliseconds, sizes in bytes.
+    """
+
+    floor_percent: int = 60
+    days_between_false_ejections: int = 10
+    attempt_timeout_ms: int = 5000
+    total_timeout_ms: int = 15000
+    connect_timeout_ms: int = 500
+    idle_timeout_ms: int = 30000
+    retry_budget_percent: int = 10
+    max_attempts: int = 3
+    connections_per_instance: int = 330
+    slots_per_instance: int = 6
+    queue_limit: int = 64
+    max_body_bytes: int = 1 << 30
+    cold_start_ms: int = 10000
+    idempotent: str = BY_METHOD
+    claims_outage: str = REFUSE
+    importance: int = 2
+
+
+DEFAULT_POLICY: Final = Policy()
+
+PARSER_BY_KEY: Final[dict[str, Callable[[str], Any]]] = {
+    "floor_percent": parse_whole(0, 100),
+    "days_between_false_ejections": parse_whole(1, 10_000),
+    "attempt_timeout_ms": parse_whole(10, 3_600_000),
+    "total_timeout_ms": parse_whole(10, 3_600_000),
+    "connect_timeout_ms": parse_whole(1, 60_000),
+    "idle_timeout_ms": parse_whole(100, 3_600_000),
+    "retry_budget_percent": parse_whole(0, 100),
+    "max_attempts": parse_whole(1, 10),
+    "connections_per_instance": parse_whole(1, 100_000),
+    "slots_per_instance": parse_whole(1, 10_000),
+    "queue_limit": parse_whole(0, 100_000),
+    "max_body_bytes": parse_whole(0, 1 << 40),
+    "cold_start_ms": parse_whole(0, 3_600_000),
+    "idempotent": parse_choice(BY_METHOD, "yes", "no"),
+    "claims_outage": parse_choice(REFUSE, WAIT),
+    "importance": parse_whole(1, 3),
+}
+
+
+def with_values(policy: Policy, values: Iterable[tuple[str, Any]]) -> Policy:
+    """Return ``policy`` with some of its values replaced."""
+    return policy._replace(**dict(values))
--- /dev/null
+++ b/src/galenaferry/configuration/state.py
@@ -0,0 +1,125 @@
+"""The version of the configuration that a VM has in force, and its history."""
+
+from collections import OrderedDict
+from enum import Enum
+from typing import Final
+
+from .document import (
+    EMPTY_CONFIGURATION,
+    Configuration,
+    Sections,
+    configure_sections,
+    edited,
+)
+from .messages import EMPTY_HEAD, Change, Edit, Head, Proposal, chain_digest
+
+HISTORY_LENGTH: Final = 1024
+
+
+class Adoption(Enum):
+    """What became of a change offered to the store."""
+
+    ADOPTED = "adopted"
+    KNOWN = "known"
+    GAP = "gap"
+    FORK = "fork"
+
+
+class ConfigurationStore:
+    """The configuration in force; its version only ever grows."""
+
+    def __init__(self) -> None:
+        self.head = EMPTY_HEAD
+        self.sections: Sections = {}
+        self.configuration: Configuration = EMPTY_CONFIGURATION
+        self.changes_by_version: OrderedDict[int, Change] = OrderedDict()
+        self._undo_by_version: dict[int, tuple[Edit, ...]] = {}
+
+    def adopt(self, change: Change) -> Adoption:
+        """Put ``change`` in force where it follows the newest version."""
+        if change.version <= self.head.version:
+            return self._compare(change)
+        if change.version > self.head.version + 1:
+            return Adoption.GAP
+        digest = chain_digest(self.head.digest, change.version, change.id, change.edits)
+        if digest != change.digest:
+            return Adoption.FORK
+        self._undo_by_version[change.version] = _undo(self.sections, change.edits)
+        self.sections = edited(self.sections, change.edits)
+        self.head = Head(change.version, change.digest)
+        self.configuration = configure_sections(self.sections, change.version)
+        self._remember(change)
+        return Adoption.ADOPTED
+
+    def load(self, head: Head, sections: Sections) -> bool:
+        """Replace everything by a newer snapshot; an older one is refused."""
+        if head.version <= self.head.version:
+            return False
+        self.head = head
+        self.sections = sections
+        self.configuration = configure_sections(sections, head.version)
+        self.changes_by_version.clear()
+        self._undo_by_version.clear()
+        return True
+
+    def sections_at(self, version: int) -> Sections | None:
+        """Return the sections of an earlier version, None where it is not kept."""
+        sections = self.sections
+        for number in range(self.head.version, version, -1):
+            undo = self._undo_by_version.get(number)
+            if undo is None:
+                return None
+            sections = edited(sections, undo)
+        return sections if 0 <= version <= self.head.version else None
+
+    def changes_after(self, version: int, limit: int) -> list[Change] | None:
+        """Return up to ``limit`` changes after ``version``.
+
+        None means that the history does not reach back so far.
+        """
+        if version >= self.head.version:
+            return []
+        if version + 1 not in self.changes_by_version:
+            return None
+        last = min(self.head.version, version + limit)
+        return [self.changes_by_version[n] for n in range(version + 1, last + 1)]
+
+    def clashes(self, proposal: Proposal) -> list[Change] | None:
+        """Return the later changes that touch a key of ``proposal``.
+
+        None means that the history does not reach back to its base.
+        """
+        later = self.changes_after(proposal.base, HISTORY_LENGTH)
+        if later is None:
+            return None
+        wanted = {(edit.section, edit.key): edit for edit in proposal.edits}
+        return [
+            change
+            for change in later
+            if any(_differs(wanted, edit) for edit in change.edits)
+        ]
+
+    def _compare(self, change: Change) -> Adoption:
+        known = self.changes_by_version.get(change.version)
+        if known is not None and known.digest != change.digest:
+            return Adoption.FORK
+        return Adoption.KNOWN
+
+    def _remember(self, change: Change) -> None:
+        self.changes_by_version[change.version] = change
+        while len(self.changes_by_version) > HISTORY_LENGTH:
+            version, _ = self.changes_by_version.popitem(last=False)
+            del self._undo_by_version[version]
+
+
+def _differs(wanted: dict[tuple[str, str], Edit], edit: Edit) -> bool:
+    mine = wanted.get((edit.section, edit.key))
+    return mine is not None and mine.value != edit.value
+
+
+def _undo(sections: Sections, edits: tuple[Edit, ...]) -> tuple[Edit, ...]:
+    """Return the edits that take ``edits`` back."""
+    return tuple(
+        Edit(edit.section, edit.key, sections.get(edit.section, {}).get(edit.key))
+        for edit in edits
+    )
--- /dev/null
+++ b/src/galenaferry/configuration/tests/test_document.py
@@ -0,0 +1,151 @@
+"""Reading, checking and editing the configuration."""
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from galenaferry.configuration.document import (
+    check_sections,
+    difference,
+    edited,
+    render,
+    sections_of,
+)
+from galenaferry.configuration.messages import (
+    Change,
+    Edit,
+    Head,
+    Proposal,
+    decode_change,
+    encode_change,
+    make_change,
+)
+from galenaferry.configuration.state import Adoption, ConfigurationStore
+
+GOOD = """
+[defaults]
+floor_percent = 70
+
+[exception bookings]
+scope = service summit-bookings
+reason = a lost slot costs a guide a day
+floor_percent = 80
+"""
+
+BAD = """[defaults]
+floor_percent = 170
+colour = red
+
+[exception nameless]
+scope = planet mars
+floor_percent = x
+
+[exception twice]
+scope = service a
+reason = first
+floor_percent = 10
+
+[exception again]
+scope = service a
+reason = second
+floor_percent = 20
+
+[stray]
+a = 1
+"""
+
+
+def test_good_text_reads_back_the_same():
+    sections = sections_of("a.ini", GOOD).ok()
+    assert sections_of("b.ini", render(sections)).ok() == sections
+
+
+def test_all_findings_come_together_with_their_places():
+    findings = sections_of("fleet.ini", BAD).err()
+    assert [str(finding) for finding in findings] == [
+        "fleet.ini:3: [defaults] colour: unknown key",
+        "fleet.ini:2: [defaults] floor_percent: 170 is outside 0 to 100",
+        "fleet.ini:5: [exception nameless] reason: an exception needs a written reason",
+        "fleet.ini:6: [exception nameless] scope: the scope must be 'service NAME', 'route METHOD|* /PREFIX', 'zone NAME' or 'instance IP:PORT'",
+        "fleet.ini:7: [exception nameless] floor_percent: 'x' is not a whole number",
+        "fleet.ini:19: [stray]: unknown section",
+        "fleet.ini:17: [exception again] floor_percent: the exception twice gives this key for the same scope",
+    ]
+
+
+def test_text_that_is_no_ini_is_a_finding():
+    findings = sections_of("x.ini", "floor_percent = 1\n").err()
+    assert findings[0].line == 1
+
+
+names = st.sampled_from(["defaults", "exception a", "exception b"])
+keys = st.sampled_from(["floor_percent", "reason", "scope"])
+sections_strategy = st.dictionaries(
+    names, st.dictionaries(keys, st.text("abc 1", min_size=1), min_size=1), max_size=3
+)
+
+
+@seed(1)
+@settings(max_examples=200, deadline=None, database=None)
+@given(sections_strategy, sections_strategy)
+def test_a_difference_applied_gives_the_new_sections(old, new):
+    assert edited(old, difference(old, new)) == new
+
+
+@seed(2)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.text(max_size=300))
+def test_any_text_is_read_or_gives_findings(text):
+    result = sections_of("any.ini", text)
+    if result.is_err():
+        assert result.err()
+
+
+def proposal(change_id, base, *edits):
+    return Proposal(
+        change_id, base, "ana", "because", tuple(Edit(*edit) for edit in edits)
+    )
+
+
+def accept(store, wanted):
+    change = make_change(store.head, wanted, 0.0)
+    assert store.adopt(change) is Adoption.ADOPTED
+    return change
+
+
+def test_a_lower_version_is_never_taken():
+    store = ConfigurationStore()
+    first = accept(store, proposal("1", 0, ("defaults", "floor_percent", "50")))
+    accept(store, proposal("2", 1, ("defaults", "floor_percent", "70")))
+    assert store.adopt(first) is Adoption.KNOWN
+    assert not store.load(Head(1, first.digest), {"defaults": {"floor_percent": "50"}})
+    assert store.configuration.defaults.floor_percent == 70
+
+
+def test_a_different_change_with_a_known_version_is_a_fork():
+    store = ConfigurationStore()
+    accept(store, proposal("1", 0, ("defaults", "floor_percent", "50")))
+    other = make_change(
+        Head(0, ""), proposal("x", 0, ("defaults", "floor_percent", "1")), 0.0
+    )
+    assert store.adopt(other) is Adoption.FORK
+    assert store.adopt(Change(2, "y", "b", "r", 0.0, (), "wrong")) is Adoption.FORK
+    assert store.adopt(Change(9, "y", "b", "r", 0.0, (), "far")) is Adoption.GAP
+
+
+def test_only_changes_of_the_same_key_clash():
+    store = ConfigurationStore()
+    accept(store, proposal("1", 0, ("defaults", "floor_percent", "50")))
+    accept(store, proposal("2", 1, ("defaults", "max_attempts", "2")))
+    assert store.clashes(proposal("3", 1, ("defaults", "floor_percent", "60"))) == []
+    clashes = store.clashes(proposal("4", 1, ("defaults", "max_attempts", "5")))
+    assert [change.id for change in clashes] == ["2"]
+
+
+def test_a_change_survives_its_encoding():
+    store = ConfigurationStore()
+    change = accept(store, proposal("1", 0, ("defaults", "floor_percent", None)))
+    assert decode_change(encode_change(change)) == change
+
+
+def test_unknown_keys_in_sections_are_found():
+    assert check_sections({"defaults": {"colour": "red"}})
--- /dev/null
+++ b/src/galenaferry/demo/fleet.py
@@ -0,0 +1,235 @@
+"""Processes of a small fleet on the loopback address."""
+
+import http.client
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+TOKEN: Final = "demo-token"
+PEER_KEY: Final = "demo-peer-key-of-the-fleet"
+START_SECONDS: Final = 20.0
+STOP_SECONDS: Final = 20.0
+SETTINGS: Final = """[vm]
+name = {name}
+zone = {zone}
+callers = 127.0.0.1:{callers}
+peers = 127.0.0.1:{peers}
+drain_wait_ms = 500
+[admin]
+address = 127.0.0.1:{admin}
+token = {token}
+[platform]
+address = 127.0.0.1:{platform}
+[peers]
+key = {key}
+"""
+
+
+class Service(NamedTuple):
+    """A service of the demonstration."""
+
+    name: str
+    instances: int
+
+
+class EntryVm(NamedTuple):
+    """One entry VM and its ports."""
+
+    name: str
+    zone: str
+    callers: int
+    peers: int
+    admin: int
+    process: "subprocess.Popen[bytes]"
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [int(sock.getsockname()[1]) for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def ask(port: int, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
+    """Send one request to the loopback address and return status and body."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    try:
+        payload = None if body is None else json.dumps(body)
+        headers = {"Authorization": f"Bearer {TOKEN}"}
+        connection.request(method, path, payload, headers)
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+class Fleet:
+    """Stand-ins and entry VMs as processes of their own.
+
+    Parameters
+    ----------
+    folder : Path
+        Holds settings and logs.
+    services : tuple of Service
+    zones : tuple of str
+    vm_count : int
+    work_ms : float
+        Time of one execution at a backend server.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        services: tuple[Service, ...],
+        zones: tuple[str, ...],
+        vm_count: int,
+        work_ms: float = 5.0,
+    ) -> None:
+        self._folder = folder
+        self._services = services
+        self._zones = zones
+        self._work_ms = work_ms
+        self._vm_count = vm_count
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self.platform_port = 0
+        self.ports_by_service: dict[str, list[int]] = {}
+        self.vms: list[EntryVm] = []
+
+    def start(self) -> None:
+        """Start everything and wait until every VM is ready."""
+        self.start_stand_ins()
+        for number in range(self._vm_count):
+            self.start_vm(f"vm{number + 1}", self._zones[number % len(self._zones)])
+        for vm in self.vms:
+            self.wait_ready(vm)
+
+    def start_stand_ins(self) -> None:
+        """Start the platform and the backend servers and list them."""
+        count = 1 + sum(service.instances for service in self._services)
+        self.platform_port, *ports = free_ports(count)
+        self._start_stand_ins(ports)
+
+    def start_vm(self, name: str, zone: str) -> EntryVm:
+        """Start one entry VM and list it at the platform."""
+        callers, peers, admin = free_ports(3)
+        file = self._folder / f"{name}.ini"
+        file.write_text(
+            SETTINGS.format(
+                name=name,
+                zone=zone,
+                callers=callers,
+                peers=peers,
+                admin=admin,
+                token=TOKEN,
+                platform=self.platform_port,
+                key=PEER_KEY,
+            )
+        )
+        process = self._spawn(name, "galenaferry.entry", str(file))
+        vm = EntryVm(name, zone, callers, peers, admin, process)
+        self.vms.append(vm)
+        self.list_vm(f"127.0.0.1:{peers}", "entry", "", zone)
+        return vm
+
+    def wait_ready(self, vm: EntryVm) -> None:
+        """Wait until a VM takes callers."""
+        self._wait_until(vm.admin, "/ready")
+
+    def stop_vm(self, vm: EntryVm) -> int:
+        """Ask a VM for its planned stop and return its exit code."""
+        vm.process.send_signal(signal.SIGTERM)
+        self.vms.remove(vm)
+        code = vm.process.wait(STOP_SECONDS)
+        ask(self.platform_port, "DELETE", f"/vms?address=127.0.0.1:{vm.peers}")
+        return code
+
+    def stop(self) -> None:
+        """End every process that this fleet started."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        for process in self._processes:
+            with suppress(subprocess.TimeoutExpired):
+                process.wait(STOP_SECONDS / 4.0)
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+
+    def list_vm(
+        self, address: str, role: str, service: str, zone: str, state: str = "live"
+    ) -> None:
+        """Put a row into the platform's VM list."""
+        row = {
+            "address": address,
+            "role": role,
+            "service": service,
+            "zone": zone,
+            "region": "default",
+            "state": state,
+        }
+        ask(self.platform_port, "PUT", "/vms", row)
+
+    def set_mode(self, port: int, **mode: Any) -> None:
+        """Change the behaviour of a backend server."""
+        ask(port, "PUT", "/mode", mode)
+
+    def executions_by_id(self, service: str) -> dict[str, int]:
+        """Return how often each identified request of a service was run."""
+        total: dict[str, int] = {}
+        for port in self.ports_by_service[service]:
+            counters = json.loads(ask(port, "GET", "/counters")[1])
+            for key, count in counters["executions_by_id"].items():
+                total[key] = total.get(key, 0) + count
+        return total
+
+    def _start_stand_ins(self, ports: list[int]) -> None:
+        self._spawn(
+            "platform",
+            "galenaferry.stand_ins.platform",
+            f"--address=127.0.0.1:{self.platform_port}",
+        )
+        left = iter(ports)
+        for service in self._services:
+            mine = [next(left) for _ in range(service.instances)]
+            self.ports_by_service[service.name] = mine
+            self._spawn(
+                service.name,
+                "galenaferry.stand_ins.backend",
+                f"--work-ms={self._work_ms}",
+                *[f"--address=127.0.0.1:{port}" for port in mine],
+            )
+        self._wait_until(self.platform_port, "/counters")
+        for name, mine in self.ports_by_service.items():
+            for number, port in enumerate(mine):
+                self._wait_until(port, "/health")
+                zone = self._zones[number % len(self._zones)]
+                self.list_vm(f"127.0.0.1:{port}", "backend", name, zone)
+
+    def _spawn(
+        self, name: str, module: str, *arguments: str
+    ) -> "subprocess.Popen[bytes]":
+        with (self._folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+            )
+        self._processes.append(process)
+        return process
+
+    def _wait_until(self, port: int, path: str) -> None:
+        ends_at = time.monotonic() + START_SECONDS
+        while time.monotonic() < ends_at:
+            with suppress(OSError, http.client.HTTPException):
+                if ask(port, "GET", path)[0] == 200:
+                    return
+            time.sleep(0.05)
+        raise TimeoutError(f"port {port} is not ready after {START_SECONDS:.0f} s")
--- /dev/null
+++ b/src/galenaferry/drain/__init__.py
@@ -0,0 +1,1 @@
+"""The planned stop of a VM."""
--- /dev/null
+++ b/src/galenaferry/drain/component.py
@@ -0,0 +1,86 @@
+"""The component that carries out a planned stop on SIGTERM or on request."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from circuits import BaseComponent, handler
+
+from ..clock import Millis
+from ..logs import logger
+from ..network.loop import Loop
+from .decisions import Announce, Exit, Finish, Serve, next_step
+
+CHECK_MS: Final = 50.0
+
+log = logger("drain")
+
+
+class DrainComponent(BaseComponent):
+    """Planned stop of this VM.
+
+    Parameters
+    ----------
+    loop : Loop
+    wait : float
+        Time that the balancer needs to notice, in milliseconds.
+    in_flight : callable
+        Gives the number of requests in progress.
+    on_announce, on_finish : callable
+        Called once when the step is reached.
+    """
+
+    channel = "drain"
+
+    def __init__(
+        self,
+        loop: Loop,
+        wait: Millis,
+        in_flight: Callable[[], int],
+        on_announce: Callable[[], None],
+        on_finish: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self._loop = loop
+        self._wait = wait
+        self._in_flight = in_flight
+        self._on_announce = on_announce
+        self._on_finish = on_finish
+        self._asked_at: Millis | None = None
+        self._is_finishing = False
+
+    @property
+    def is_asked(self) -> bool:
+        """Whether a stop was asked for."""
+        return self._asked_at is not None
+
+    def ask(self) -> None:
+        """Start the planned stop; asking again changes nothing."""
+        if self._asked_at is None:
+            self._asked_at = self._loop.clock.now()
+            log.info("planned stop asked for")
+            self._on_announce()
+            self._loop.every(CHECK_MS, self._check)
+
+    @handler("signal", channel="*", priority=100.0)
+    def _on_signal(self, event: Any, signal_number: int, stack: Any) -> None:
+        event.stop()
+        self.ask()
+
+    def _check(self) -> None:
+        step = next_step(
+            self._asked_at, self._wait, self._in_flight(), self._loop.clock.now()
+        )
+        match step:
+            case Serve() | Announce():
+                return
+            case Finish():
+                self._begin_finish()
+            case Exit():
+                self._begin_finish()
+                log.info("planned stop done", in_flight=self._in_flight())
+                self.root.stop()
+
+    def _begin_finish(self) -> None:
+        if not self._is_finishing:
+            self._is_finishing = True
+            self._on_finish()
--- /dev/null
+++ b/src/galenaferry/entry.py
@@ -0,0 +1,283 @@
+"""The entry daemon: one process on each of galenaferry's VMs."""
+
+import argparse
+import gc
+import sys
+from random import Random
+from typing import Any, Final
+
+from circuits import Component, handler
+from result import Err
+
+from .admin.component import AdminComponent, AdminSources
+from .backends.directory import Directory
+from .backends.messages import Instance
+from .configuration.component import ConfigurationComponent
+from .configuration.messages import Head
+from .configuration.spreading import Pull, Push
+from .drain.component import DrainComponent
+from .findings import describe
+from .health.component import HealthComponent
+from .health.messages import Report, Verdicts
+from .logs import logger, set_up_logs
+from .membership.component import MembershipComponent
+from .membership.messages import Freshness, Heartbeat, Member
+from .membership.state import MemberTable
+from .metrics.registry import Metrics
+from .network.loop import Loop
+from .peers.codec import Message, PeerKeys
+from .peers.component import PeersComponent
+from .platform.client import PlatformClient
+from .requests.component import RequestsComponent
+from .requests.context import RequestContext
+from .routing.table import RouteTable
+from .settings import Settings, read_settings
+
+EXIT_BAD_SETTINGS: Final = 2
+YOUNG_COLLECTION_THRESHOLD: Final = 50_000
+
+log = logger("entry")
+
+
+class EntryNode(Component):
+    """One VM: all slices bound to each other.
+
+    Parameters
+    ----------
+    settings : Settings
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__()
+        self._settings = settings
+        random = Random()
+        self.loop = Loop().register(self)
+        platform = PlatformClient(
+            self.loop, settings.platform, settings.platform_timeout_ms
+        )
+        self.peers = PeersComponent(
+            self.loop,
+            settings.peers,
+            PeerKeys(settings.peer_key.encode(), settings.previous_peer_key.encode()),
+            self._me,
+            self,
+        ).register(self)
+        self._first_me = self._member()
+        self.configuration = ConfigurationComponent(
+            self.loop, platform, self._targets, self._send, random
+        ).register(self)
+        self.membership = MembershipComponent(
+            self.loop,
+            platform,
+            self._first_me,
+            random,
+            self._send,
+            self._describe,
+            self._on_instances,
+        ).register(self)
+        self.health = HealthComponent(
+            self.loop, self.membership.table, self._send, self._on_health_change
+        ).register(self)
+        self.directory = Directory(self.loop, settings.zone, self.health, random)
+        self.context = RequestContext(
+            self.loop, self.directory, self._route_table(), self.health, random
+        )
+        self.health.routes = self.context.routes
+        self.health.is_cold = self.directory.is_cold
+        self.requests = RequestsComponent(self.context, settings.callers).register(self)
+        self.drain = DrainComponent(
+            self.loop,
+            float(settings.drain_wait_ms),
+            lambda: self.requests.in_flight,
+            self._on_drain_announced,
+            self.requests.stop_accepting,
+        ).register(self)
+        self._admin = AdminComponent(
+            settings.admin, settings.admin_token, self._admin_sources()
+        ).register(self)
+
+    @property
+    def table(self) -> MemberTable:
+        """The members that this VM knows."""
+        return self.membership.table
+
+    def on_heartbeat(self, sender: Member, heartbeat: Heartbeat) -> None:
+        """Hand a heartbeat to membership and configuration."""
+        self.membership.on_heartbeat(sender, heartbeat)
+        configuration = self.configuration
+        configuration.fleet_size = self.membership.fleet_size
+        self._share_capacity()
+        if heartbeat.version <= configuration.store.head.version:
+            now = self.loop.clock.now()
+            configuration.lease.on_heartbeat(sender.address, heartbeat.freshness, now)
+        configuration.on_head(sender.address, Head(heartbeat.version, heartbeat.digest))
+
+    def on_configuration(self, sender: Member, message: Push | Pull) -> None:
+        """Hand configuration messages on."""
+        match message:
+            case Push():
+                self.configuration.on_push(sender.address, message)
+            case Pull():
+                self.configuration.on_pull(sender.address, message)
+
+    def on_report(self, sender: Member, report: Report) -> None:
+        """Hand evidence on."""
+        self.health.on_report(sender, report)
+
+    def on_verdicts(self, sender: Member, verdicts: Verdicts) -> None:
+        """Hand verdicts on."""
+        self.health.on_verdicts(sender, verdicts)
+
+    @handler("configuration_changed", channel="*")
+    def _on_configuration_changed(self) -> None:
+        self.context.routes = self._route_table()
+        self.health.routes = self.context.routes
+        self.directory.forget_cache()
+
+    def is_ready(self) -> tuple[bool, str]:
+        """Return whether callers may come, and the reason if not."""
+        if self.drain.is_asked:
+            return False, "stopping"
+        if not self.membership.is_list_known:
+            return False, "the VM list is not known yet"
+        configuration = self.configuration
+        now = self.loop.clock.now()
+        if not configuration.lease.is_held(now, configuration.fleet_size):
+            return False, "the configuration may be outdated"
+        return True, "ready"
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of all slices as JSON data."""
+        is_ready, reason = self.is_ready()
+        return {
+            "vm": {
+                "name": self._settings.name,
+                "zone": self._settings.zone,
+                "region": self._settings.region,
+                "ready": is_ready,
+                "reason": reason,
+            },
+            "configuration": self.configuration.dump(),
+            "membership": self.membership.dump(),
+            "health": self.health.dump(),
+            "peers": self.peers.dump(),
+            "requests": self._dump_requests(),
+        }
+
+    def _dump_requests(self) -> dict[str, Any]:
+        counters = self.context.counters
+        fields = counters.__dataclass_fields__
+        return {
+            "counters": {name: getattr(counters, name) for name in fields},
+            "callers": self.requests.caller_count,
+            "in_flight": self.requests.in_flight,
+            "instances": {
+                address: {"in_flight": pool.in_flight, "open": pool.open_count}
+                for address, pool in sorted(self.directory.pool_by_address.items())
+            },
+        }
+
+    def _admin_sources(self) -> AdminSources:
+        metrics = Metrics(self._settings.name, self._settings.zone)
+        metrics.add_requests(self.context.counters)
+        metrics.gauge(
+            "configuration.version",
+            "version in force",
+            lambda: self.configuration.store.head.version,
+        )
+        metrics.gauge(
+            "requests.in_flight", "in progress", lambda: self.requests.in_flight
+        )
+        return AdminSources(
+            is_ready=self.is_ready,
+            dump=self.dump,
+            metrics=metrics.read,
+            fleet=self._fleet,
+            drain=self.drain.ask,
+            configuration=self.configuration,
+        )
+
+    def _fleet(self) -> dict[str, Any]:
+        now = self.loop.clock.now()
+        live = {member.address for member in self.table.live(now)}
+        rows = [
+            {
+                "vm": member.address,
+                "zone": member.zone,
+                "version": member.version,
+                "live": member.address in live,
+                "leaving": member.is_leaving,
+            }
+            for member in [self.table.me, *self.table.known()]
+        ]
+        return {
+            "version": self.configuration.store.head.version,
+            "members": sorted(rows, key=lambda row: str(row["vm"])),
+        }
+
+    def _member(self) -> Member:
+        settings = self._settings
+        address = f"{settings.peers[0]}:{settings.peers[1]}"
+        incarnation = int(self.loop.clock.wall())
+        return Member(address, incarnation, 0, settings.zone, settings.region, False, 0)
+
+    def _me(self) -> Member:
+        return self.membership.table.me
+
+    def _targets(self, count: int) -> list[str]:
+        return self.membership.targets(count)
+
+    def _send(self, address: str, message: Message) -> None:
+        self.peers.send(address, message)
+
+    def _describe(self) -> tuple[int, str, Freshness]:
+        head = self.configuration.store.head
+        freshness = self.configuration.lease.freshness(self.loop.clock.now())
+        return head.version, head.digest, freshness
+
+    def _on_instances(self, instances: tuple[Instance, ...]) -> None:
+        self.configuration.fleet_size = self.membership.fleet_size
+        self.directory.replace(instances)
+        self.health.replace(instances)
+        self._share_capacity()
+
+    def _share_capacity(self) -> None:
+        self.directory.live_vms = max(1, self.membership.fleet_size)
+
+    def _on_health_change(self) -> None:
+        self.directory.forget_cache()
+
+    def _on_drain_announced(self) -> None:
+        self.context.is_stopping = True
+        self.membership.leave()
+
+    def _route_table(self) -> RouteTable:
+        return RouteTable(self.configuration.store.configuration, self._settings.zone)
+
+
+def run(settings: Settings) -> None:
+    """Serve until the planned stop is over."""
+    node = EntryNode(settings)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_COLLECTION_THRESHOLD)
+    log.info("serving", vm=settings.name, callers=settings.callers)
+    node.run()
+
+
+def main() -> None:
+    """Read the settings file and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("settings", type=argparse.FileType(encoding="utf-8"))
+    arguments = parser.parse_args()
+    result = read_settings(arguments.settings.name, arguments.settings.read())
+    if isinstance(result, Err):
+        sys.stderr.write(describe(result.err_value) + "\n")
+        raise SystemExit(EXIT_BAD_SETTINGS)
+    settings = result.ok_value
+    set_up_logs(settings.logs_json)
+    run(settings)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/galenaferry/framing/requests.py
@@ -0,0 +1,188 @@
+"""Reader of the requests on one caller's connection, on top of httptools."""
+
+from typing import Final, NamedTuple, Protocol
+
+import httptools
+
+from .messages import FramingError, Header, RequestHead
+
+LARGEST_HEADER_COUNT: Final = 100
+VERSIONS: Final = ("1.0", "1.1")
+
+
+class RequestLimits(NamedTuple):
+    """Largest accepted sizes in bytes."""
+
+    head_bytes: int
+    body_bytes: int
+
+
+class RequestOwner(Protocol):
+    """What the reader tells its owner."""
+
+    def on_head(self, head: RequestHead) -> None:
+        """Handle the head of the next request."""
+
+    def on_body(self, data: bytes) -> None:
+        """Handle a part of the current body."""
+
+    def on_complete(self) -> None:
+        """Handle the end of the current request."""
+
+
+class RequestReader:
+    """Parser of the byte stream of one caller.
+
+    Parameters
+    ----------
+    owner : RequestOwner
+    limits : RequestLimits
+    """
+
+    def __init__(self, owner: RequestOwner, limits: RequestLimits) -> None:
+        self._owner = owner
+        self._limits = limits
+        self._parser = httptools.HttpRequestParser(self)
+        self._error: FramingError | None = None
+        self._reset()
+
+    @property
+    def is_between_requests(self) -> bool:
+        """Whether no byte of an unfinished request has come."""
+        return not self._is_in_message
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        Raises
+        ------
+        FramingError
+            When the bytes are no acceptable request; the connection can't be
+            used for another one.
+        """
+        self._began_in_feed = False
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise FramingError(501, "protocol upgrades are not supported") from None
+        except httptools.HttpParserCallbackError as error:
+            if self._error is None:
+                raise error.__context__ or error from None
+            raise self._error from None
+        except httptools.HttpParserError as error:
+            raise FramingError(400, str(error)) from None
+        if not self._is_head_complete and not self._began_in_feed:
+            self._pending_bytes += len(data)
+        if self._pending_bytes > self._limits.head_bytes:
+            raise FramingError(431, "the head of the request is too large")
+
+    def on_message_begin(self) -> None:
+        """Prepare for the next request (called by httptools)."""
+        self._reset()
+        self._is_in_message = True
+        self._began_in_feed = True
+
+    def on_url(self, part: bytes) -> None:
+        """Collect the target (called by httptools)."""
+        self._target += part
+        self._count_head(len(part))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; trailers are dropped (called by httptools)."""
+        if self._is_head_complete:
+            return
+        if len(self._headers) >= LARGEST_HEADER_COUNT:
+            self._refuse(431, "too many headers")
+        self._headers.append((name.lower(), value))
+        self._count_head(len(name) + len(value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head and hand it over (called by httptools)."""
+        self._is_head_complete = True
+        self._pending_bytes = 0
+        head = self._build_head()
+        if head.length is not None and head.length > self._limits.body_bytes:
+            self._refuse(413, "the body is too large")
+        self._owner.on_head(head)
+
+    def on_body(self, data: bytes) -> None:
+        """Hand over a part of the body (called by httptools)."""
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits.body_bytes:
+            self._refuse(413, "the body is too large")
+        self._owner.on_body(data)
+
+    def on_message_complete(self) -> None:
+        """Tell the end of the request (called by httptools)."""
+        self._reset()
+        self._owner.on_complete()
+
+    def _reset(self) -> None:
+        self._target = b""
+        self._headers: list[Header] = []
+        self._is_head_complete = False
+        self._is_in_message = False
+        self._head_bytes = 0
+        self._pending_bytes = 0
+        self._body_bytes = 0
+        self._began_in_feed = False
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._limits.head_bytes:
+            self._refuse(431, "the head of the request is too large")
+
+    def _refuse(self, status: int, text: str) -> None:
+        self._error = FramingError(status, text)
+        raise self._error
+
+    def _build_head(self) -> RequestHead:
+        version = self._parser.get_http_version()
+        if version not in VERSIONS:
+            self._refuse(505, f"HTTP/{version} is not supported")
+        headers = tuple(self._headers)
+        length = self._body_length(headers, version)
+        if version == "1.1":
+            hosts = sum(1 for name, _ in headers if name == b"host")
+            if hosts != 1:
+                self._refuse(400, "exactly one Host header is needed")
+        return RequestHead(
+            method=self._parser.get_method(),
+            target=self._origin_form(),
+            version=version,
+            headers=headers,
+            length=length,
+            is_persistent=self._parser.should_keep_alive(),
+            expects_continue=self._expects_continue(headers),
+        )
+
+    def _body_length(self, headers: tuple[Header, ...], version: str) -> int | None:
+        length = 0
+        for name, value in headers:
+            if name == b"content-length":
+                length = int(value)
+            elif name == b"transfer-encoding":
+                if version == "1.0":
+                    self._refuse(400, "Transfer-Encoding needs HTTP/1.1")
+                if value.strip().lower() != b"chunked":
+                    self._refuse(501, "only the transfer coding chunked is supported")
+                return None
+        return length
+
+    def _origin_form(self) -> bytes:
+        target = self._target
+        if target.startswith(b"/") or target == b"*":
+            return target
+        scheme, colon, rest = target.partition(b"://")
+        if not colon or scheme.lower() not in (b"http", b"https"):
+            self._refuse(400, "the target is neither a path nor an absolute URL")
+        _, slash, path = rest.partition(b"/")
+        return slash + path or b"/"
+
+    def _expects_continue(self, headers: tuple[Header, ...]) -> bool:
+        for name, value in headers:
+            if name == b"expect":
+                if value.lower() != b"100-continue":
+                    self._refuse(417, "only Expect: 100-continue is supported")
+                return True
+        return False
--- /dev/null
+++ b/src/galenaferry/framing/responses.py
@@ -0,0 +1,167 @@
+"""Reader of one response on a backend server's connection."""
+
+from typing import Final, Protocol
+
+import httptools
+
+from .messages import FramingError, Header, ResponseHead
+
+LARGEST_HEAD_BYTES: Final = 65_536
+BODILESS_STATUSES: Final = (204, 304)
+
+
+class ResponseOwner(Protocol):
+    """What the reader tells its owner."""
+
+    def on_response_head(self, head: ResponseHead) -> None:
+        """Handle the head of the final response."""
+
+    def on_response_body(self, data: bytes) -> None:
+        """Handle a part of the body."""
+
+    def on_response_complete(self) -> None:
+        """Handle the end of the response."""
+
+
+class ResponseReader:
+    """Parser of the one response that a request gets.
+
+    Informational responses are read and dropped. Bytes after the end of the
+    response make the connection unusable.
+
+    Parameters
+    ----------
+    owner : ResponseOwner
+    is_head_request : bool
+        Whether the request's method was HEAD, whose response has no body.
+    """
+
+    def __init__(self, owner: ResponseOwner, is_head_request: bool) -> None:
+        self._owner = owner
+        self._is_head_request = is_head_request
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[Header] = []
+        self._reason = b""
+        self._head_bytes = 0
+        self._is_informational = False
+        self._is_until_end = False
+        self._error: FramingError | None = None
+        self.is_head_complete = False
+        self.is_complete = False
+        self.has_excess = False
+        self.is_persistent = False
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        Raises
+        ------
+        FramingError
+            When the bytes are no acceptable response.
+        """
+        if self.is_complete:
+            self.has_excess = True
+            return
+        self._head_bytes += 0 if self.is_head_complete else len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            if self._error is None:
+                raise error.__context__ or error from None
+            raise self._error from None
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if not self.is_complete:
+                raise FramingError(502, f"bad response: {error}") from None
+            self.has_excess = True
+        if not self.is_head_complete and self._head_bytes > LARGEST_HEAD_BYTES:
+            raise FramingError(502, "the head of the response is too large")
+
+    def end(self) -> None:
+        """Handle the end of the connection.
+
+        Raises
+        ------
+        FramingError
+            When the response was cut off.
+        """
+        if self.is_complete:
+            return
+        if not (self.is_head_complete and self._is_until_end):
+            raise FramingError(502, "the response was cut off")
+        self._complete()
+
+    def on_message_begin(self) -> None:
+        """Refuse a second response (called by httptools)."""
+        if self.is_complete:
+            self.has_excess = True
+        self._headers = []
+        self._reason = b""
+
+    def on_status(self, reason: bytes) -> None:
+        """Collect the reason phrase (called by httptools)."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; trailers are dropped (called by httptools)."""
+        if not self.is_head_complete:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Hand over the head of the final response (called by httptools)."""
+        if self.is_complete:
+            return
+        status = self._parser.get_status_code()
+        if status == 101:
+            self._refuse("unasked protocol upgrade")
+        self._is_informational = status < 200
+        if self._is_informational:
+            return
+        self.is_head_complete = True
+        self.is_persistent = self._parser.should_keep_alive()
+        head = self._build_head(status)
+        self._owner.on_response_head(head)
+        if self._is_bodiless(status):
+            self._complete()
+
+    def on_body(self, data: bytes) -> None:
+        """Hand over a part of the body (called by httptools)."""
+        if self.is_complete:
+            self.has_excess = True
+            return
+        self._owner.on_response_body(data)
+
+    def on_message_complete(self) -> None:
+        """Tell the end of the response (called by httptools)."""
+        if self.is_complete or self._is_informational:
+            return
+        self._complete()
+
+    def _refuse(self, text: str) -> None:
+        self._error = FramingError(502, f"bad response: {text}")
+        raise self._error
+
+    def _complete(self) -> None:
+        self.is_complete = True
+        self._owner.on_response_complete()
+
+    def _is_bodiless(self, status: int) -> bool:
+        return self._is_head_request or status in BODILESS_STATUSES
+
+    def _build_head(self, status: int) -> ResponseHead:
+        headers = tuple(self._headers)
+        length: int | None = None
+        is_chunked = False
+        for name, value in headers:
+            if name == b"content-length":
+                length = int(value)
+            elif name == b"transfer-encoding":
+                if value.strip().lower() != b"chunked":
+                    self._refuse("unsupported transfer coding")
+                is_chunked = True
+        if self._is_bodiless(status):
+            self.is_persistent = self.is_persistent and not self._is_head_request
+            return ResponseHead(status, self._reason, headers, length)
+        self._is_until_end = length is None and not is_chunked
+        if self._is_until_end:
+            self.is_persistent = False
+        return ResponseHead(status, self._reason, headers, length)
--- /dev/null
+++ b/src/galenaferry/framing/tests/test_framing.py
@@ -0,0 +1,175 @@
+"""Framing of callers and backend servers: each rule with its outcome."""
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from galenaferry.framing.heads import encode_request, end_to_end
+from galenaferry.framing.messages import FramingError
+from galenaferry.framing.requests import RequestLimits, RequestReader
+from galenaferry.framing.responses import ResponseReader
+
+LIMITS = RequestLimits(head_bytes=1024, body_bytes=10_000)
+
+
+class Collector:
+    def __init__(self):
+        self.heads, self.body, self.completed = [], b"", 0
+
+    def on_head(self, head):
+        self.heads.append(head)
+
+    on_response_head = on_head
+
+    def on_body(self, data):
+        self.body += data
+
+    on_response_body = on_body
+
+    def on_complete(self):
+        self.completed += 1
+
+    on_response_complete = on_complete
+
+
+def read_requests(*parts):
+    collector = Collector()
+    reader = RequestReader(collector, LIMITS)
+    for part in parts:
+        reader.feed(part)
+    return collector
+
+
+REFUSED = [
+    (
+        b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        400,
+    ),
+    (
+        b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+        400,
+    ),
+    (b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", 400),
+    (b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 501),
+    (b"POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+    (b"GET /a HTTP/1.1\r\n\r\n", 400),
+    (b"GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+    (b"GET /a HTTP/2.0\r\nHost: a\r\n\r\n", 505),
+    (b"GET /a HTTP/1.1\r\nHost: a\r\n folded\r\n\r\n", 400),
+    (b"GET /a HTTP/1.1\r\nHost: a\r\nExpect: cake\r\n\r\n", 417),
+    (b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", 501),
+    (b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 10001\r\n\r\n", 413),
+    (b"GET /" + b"a" * 2000, 431),
+    (b"GET /a HTTP/1.1\r\nHost: a\r\n" + b"x: y\r\n" * 101 + b"\r\n", 431),
+]
+
+
+@pytest.mark.parametrize(("raw", "status"), REFUSED)
+def test_bad_requests_are_refused_with_their_status(raw, status):
+    with pytest.raises(FramingError) as caught:
+        read_requests(raw)
+    assert caught.value.status == status
+
+
+def test_pipelined_requests_keep_their_own_targets():
+    collector = read_requests(
+        b"POST /one HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabcGET /two HTTP/1.1\r\nHost: a\r\n\r\n"
+    )
+    assert [head.target for head in collector.heads] == [b"/one", b"/two"]
+    assert collector.body == b"abc"
+    assert collector.completed == 2
+
+
+def test_a_request_in_single_bytes_is_the_same_request():
+    raw = b"POST /one HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+    whole = read_requests(raw)
+    split = read_requests(*[raw[i : i + 1] for i in range(len(raw))])
+    assert split.heads == whole.heads
+    assert split.body == b"abc"
+
+
+def test_hop_by_hop_headers_stay_on_their_hop():
+    head = read_requests(
+        b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\nX-Stay: 2\r\n\r\n"
+    ).heads[0]
+    assert end_to_end(head.headers) == [(b"host", b"a"), (b"x-stay", b"2")]
+    assert b"x-stay: 2" in encode_request(head, ())
+
+
+def read_response(*parts, is_head_request=False, ends=False):
+    collector = Collector()
+    reader = ResponseReader(collector, is_head_request)
+    for part in parts:
+        reader.feed(part)
+    if ends:
+        reader.end()
+    return collector, reader
+
+
+def test_informational_responses_are_dropped():
+    collector, reader = read_response(
+        b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
+    )
+    assert [head.status for head in collector.heads] == [200]
+    assert collector.body == b"ab"
+    assert reader.is_persistent
+
+
+def test_an_over_long_response_marks_the_connection():
+    collector, reader = read_response(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz"
+    )
+    assert collector.body == b"ab"
+    assert reader.has_excess
+
+
+def test_a_response_to_head_ends_with_its_head():
+    collector, _ = read_response(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", is_head_request=True
+    )
+    assert collector.completed == 1
+
+
+def test_a_cut_off_response_is_an_error():
+    with pytest.raises(FramingError):
+        read_response(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", ends=True)
+
+
+def test_a_response_until_the_end_is_whole():
+    collector, reader = read_response(b"HTTP/1.1 200 OK\r\n\r\nab", ends=True)
+    assert (collector.body, collector.completed) == (b"ab", 1)
+    assert not reader.is_persistent
+
+
+@seed(11)
+@settings(max_examples=300, deadline=None, database=None)
+@given(
+    st.lists(
+        st.binary(max_size=200) | st.sampled_from([raw for raw, _ in REFUSED]),
+        max_size=5,
+    )
+)
+def test_any_bytes_give_requests_or_a_framing_error(parts):
+    collector = Collector()
+    reader = RequestReader(collector, LIMITS)
+    try:
+        for part in parts:
+            reader.feed(part)
+    except FramingError as error:
+        assert 400 <= error.status < 600
+    assert len(collector.body) <= sum(len(part) for part in parts)
+
+
+@seed(12)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.binary(max_size=300), st.booleans())
+def test_any_bytes_give_a_response_or_a_framing_error(data, has_head):
+    prefix = b"HTTP/1.1 200 OK\r\n" if has_head else b""
+    collector = Collector()
+    reader = ResponseReader(collector, False)
+    try:
+        reader.feed(prefix + data)
+        reader.end()
+    except FramingError as error:
+        assert error.status == 502
+    assert collector.completed <= 1
--- /dev/null
+++ b/src/galenaferry/health/homes.py
@@ -0,0 +1,29 @@
+"""Which VMs are the homes of a service: rendezvous hashing over live VMs.
+
+Every VM computes the same homes from the same members, and a member that comes
+or goes moves only its own services [1]_.
+
+References
+----------
+.. [1] D. Thaler and C. Ravishankar, "Using name-based mappings to increase hit
+   rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+from collections.abc import Iterable
+from heapq import nlargest
+from typing import Final
+
+import xxhash
+
+HOMES_PER_SERVICE: Final = 2
+
+
+def homes(
+    service: str, members: Iterable[str], count: int = HOMES_PER_SERVICE
+) -> tuple[str, ...]:
+    """Return the ``count`` members with the highest weight for ``service``."""
+    return tuple(nlargest(count, members, key=lambda member: _weight(service, member)))
+
+
+def _weight(service: str, member: str) -> int:
+    return xxhash.xxh64_intdigest(f"{service}\n{member}".encode())
--- /dev/null
+++ b/src/galenaferry/health/reporter.py
@@ -0,0 +1,91 @@
+"""Which evidence this VM sends to which home, within a budget of datagrams."""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from ..clock import Millis
+from .evidence import LocalEvidence
+from .messages import Report
+
+DATAGRAMS_PER_SECOND: Final = 40.0
+BURST_DATAGRAMS: Final = 20.0
+COUNTS_PER_REPORT: Final = 32
+
+
+class Addressed(NamedTuple):
+    """A report and the VM that it goes to."""
+
+    home: str
+    report: Report
+
+
+class _Pending(NamedTuple):
+    """Evidence about one service that was not sent yet."""
+
+    since: Millis
+    has_failure: bool
+    addresses: frozenset[str]
+
+
+HomesOf = Callable[[str], tuple[str, ...]]
+
+
+class Reporter:
+    """Collects changed totals by service and sends them to its homes.
+
+    Failures go first, then what has waited longest. Totals are cumulative, so
+    what the budget delays is not lost.
+    """
+
+    def __init__(self, evidence: LocalEvidence, homes_of: HomesOf) -> None:
+        self._evidence = evidence
+        self._homes_of = homes_of
+        self._pending_by_service: dict[str, _Pending] = {}
+        self._tokens = BURST_DATAGRAMS
+        self._at: Millis = 0.0
+
+    def mark(self, service: str, address: str, is_failure: bool, now: Millis) -> None:
+        """Note that the totals of an instance have changed."""
+        pending = self._pending_by_service.get(service)
+        if pending is None:
+            pending = _Pending(now, is_failure, frozenset((address,)))
+            self._pending_by_service[service] = pending
+            return
+        if is_failure and not pending.has_failure:
+            pending = pending._replace(has_failure=True)
+        if address not in pending.addresses:
+            pending = pending._replace(addresses=pending.addresses | {address})
+        self._pending_by_service[service] = pending
+
+    def flush(self, now: Millis) -> list[Addressed]:
+        """Return the reports to send now."""
+        elapsed = max(0.0, now - self._at)
+        self._at = now
+        earned = elapsed * DATAGRAMS_PER_SECOND / 1000.0
+        self._tokens = min(BURST_DATAGRAMS, self._tokens + earned)
+        order = sorted(
+            self._pending_by_service.items(),
+            key=lambda item: (not item[1].has_failure, item[1].since),
+        )
+        addresses_by_home: dict[str, list[str]] = {}
+        for service, pending in order:
+            homes = self._homes_of(service)
+            fresh = [home for home in homes if home not in addresses_by_home]
+            if len(fresh) > self._tokens:
+                continue
+            self._tokens -= len(fresh)
+            del self._pending_by_service[service]
+            for home in homes:
+                addresses_by_home.setdefault(home, []).extend(pending.addresses)
+        return [
+            Addressed(home, report)
+            for home, addresses in addresses_by_home.items()
+            for report in self._reports(addresses)
+        ]
+
+    def _reports(self, addresses: list[str]) -> list[Report]:
+        counts = [self._evidence.counts(address) for address in addresses]
+        return [
+            Report(tuple(counts[start : start + COUNTS_PER_REPORT]))
+            for start in range(0, len(counts), COUNTS_PER_REPORT)
+        ]
--- /dev/null
+++ b/src/galenaferry/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The live VMs of the fleet, by heartbeats and hearsay."""
--- /dev/null
+++ b/src/galenaferry/membership/state.py
@@ -0,0 +1,121 @@
+"""The members that a VM knows and which of them are live."""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Final
+
+from ..clock import Millis
+from .messages import Member
+
+LIVE_SPAN_MS: Final = 6_000.0
+FORGOTTEN_MS: Final = 60_000.0
+MEMBERS_PER_OTHER_REGION: Final = 4
+SAMPLE_SIZE: Final = 10
+
+
+class MemberTable:
+    """Members of the own region, and a few of each other region.
+
+    A member is live while its counter grows, whether its heartbeats come
+    directly or by way of others; so a one-way partition between two VMs takes
+    neither of them out.
+
+    Parameters
+    ----------
+    me : Member
+    random : Random
+    """
+
+    def __init__(self, me: Member, random: Random) -> None:
+        self.me = me
+        self._random = random
+        self._members: dict[str, Member] = {}
+        self._advanced_at: dict[str, Millis] = {}
+        self._count_by_region: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def beat(self, version: int) -> None:
+        """Advance this VM's own entry for the next heartbeat."""
+        self.me = self.me._replace(counter=self.me.counter + 1, version=version)
+
+    def hear(self, member: Member, now: Millis) -> None:
+        """Take over an entry that is newer than the known one."""
+        if member.address == self.me.address:
+            return
+        known = self._members.get(member.address)
+        if known is None:
+            self._add(member, now)
+            return
+        newer = (member.incarnation, member.counter)
+        if newer > (known.incarnation, known.counter):
+            self._members[member.address] = member
+            self._advanced_at[member.address] = now
+
+    def hint(self, members: Iterable[Member], now: Millis) -> None:
+        """Take over unknown addresses of the platform's lagging list.
+
+        They are contacted, and count as live only once they are heard of.
+        """
+        for member in members:
+            is_known = member.address in self._members
+            if not is_known and member.address != self.me.address:
+                self._add(member, now - LIVE_SPAN_MS)
+
+    def live(self, now: Millis) -> list[Member]:
+        """Return the live members that don't leave, this VM included."""
+        others = [
+            member
+            for address, member in self._members.items()
+            if now - self._advanced_at[address] < LIVE_SPAN_MS and not member.is_leaving
+        ]
+        return [*others, self.me]
+
+    def live_in_region(self, now: Millis) -> list[Member]:
+        """Return the live members of the own region, this VM included."""
+        region = self.me.region
+        return [member for member in self.live(now) if member.region == region]
+
+    def known(self) -> list[Member]:
+        """Return all other members that are not forgotten."""
+        return list(self._members.values())
+
+    def targets(self, count: int, now: Millis) -> list[str]:
+        """Return random addresses for heartbeats, mostly live ones.
+
+        One of the silent members is tried too, so that two parts of the fleet
+        that lost each other meet again.
+        """
+        live = [m.address for m in self.live(now) if m.address != self.me.address]
+        silent = list(self._members.keys() - set(live))
+        chosen = self._random.sample(live, min(count, len(live)))
+        if silent:
+            chosen.append(self._random.choice(silent))
+        return chosen
+
+    def sample(self, now: Millis) -> tuple[Member, ...]:
+        """Return random members whose counter grew lately."""
+        fresh = [
+            member
+            for address, member in self._members.items()
+            if now - self._advanced_at[address] < LIVE_SPAN_MS / 2.0
+        ]
+        return tuple(self._random.sample(fresh, min(SAMPLE_SIZE, len(fresh))))
+
+    def forget(self, now: Millis) -> None:
+        """Drop members that were silent for long."""
+        for address, at in list(self._advanced_at.items()):
+            if now - at > FORGOTTEN_MS:
+                member = self._members.pop(address)
+                del self._advanced_at[address]
+                self._count_by_region[member.region] -= 1
+
+    def _add(self, member: Member, now: Millis) -> None:
+        count = self._count_by_region.get(member.region, 0)
+        is_far = member.region != self.me.region
+        if is_far and count >= MEMBERS_PER_OTHER_REGION:
+            return
+        self._members[member.address] = member
+        self._advanced_at[member.address] = now
+        self._count_by_region[member.region] = count + 1
--- /dev/null
+++ b/src/galenaferry/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""OpenTelemetry metrics, read on request."""
--- /dev/null
+++ b/src/galenaferry/metrics/registry.py
@@ -0,0 +1,74 @@
+"""Metrics of a VM: observable instruments over the counters that it keeps anyway.
+
+A reader that is asked on request needs no thread, and an observable instrument
+costs nothing on the way of a request.
+"""
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+from opentelemetry.sdk.resources import Resource
+
+from ..requests.messages import RequestCounters
+
+
+class Metrics:
+    """Instruments of one process.
+
+    Parameters
+    ----------
+    name, zone : str
+        The VM and its availability zone.
+    """
+
+    def __init__(self, name: str, zone: str) -> None:
+        self._reader = InMemoryMetricReader()
+        resource = Resource({"service.name": "galenaferry", "vm": name, "zone": zone})
+        provider = MeterProvider(
+            metric_readers=[self._reader], resource=resource, shutdown_on_exit=False
+        )
+        self._meter = provider.get_meter("galenaferry")
+
+    def count(self, name: str, text: str, read: Callable[[], int]) -> None:
+        """Add a counter whose value ``read`` gives."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            yield Observation(read())
+
+        self._meter.create_observable_counter(name, [observe], description=text)
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Add a gauge whose value ``read`` gives."""
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            yield Observation(read())
+
+        self._meter.create_observable_gauge(name, [observe], description=text)
+
+    def add_requests(self, counters: RequestCounters) -> None:
+        """Add the counters of the request path."""
+        for field in RequestCounters.__dataclass_fields__:
+            if field == "by_status":
+                continue
+            self.count(f"requests.{field}", "", _reader_of(counters, field))
+        self._meter.create_observable_counter(
+            "answers", [lambda options: _by_status(counters)], description="by status"
+        )
+
+    def read(self) -> Any:
+        """Return all present values as OpenTelemetry's JSON data."""
+        data = self._reader.get_metrics_data()
+        return json.loads(data.to_json()) if data is not None else {}
+
+
+def _reader_of(counters: RequestCounters, field: str) -> Callable[[], int]:
+    return lambda: int(getattr(counters, field))
+
+
+def _by_status(counters: RequestCounters) -> Iterable[Observation]:
+    for status, count in counters.by_status.items():
+        yield Observation(count, {"status": status})
--- /dev/null
+++ b/src/galenaferry/network/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and timers on the one loop."""
--- /dev/null
+++ b/src/galenaferry/network/datagrams.py
@@ -0,0 +1,41 @@
+"""A UDP socket on the loop."""
+
+import socket
+from collections.abc import Callable
+from typing import Final
+
+from .loop import READABLE, Loop
+
+LARGEST_DATAGRAM_BYTES: Final = 65_535
+RECEIVES_PER_WAKE: Final = 64
+
+Address = tuple[str, int]
+
+
+class DatagramSocket:
+    """Bound UDP socket that hands every datagram to a callback."""
+
+    def __init__(
+        self, loop: Loop, address: Address, receive: Callable[[bytes, Address], None]
+    ) -> None:
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._sock = socket.socket(family, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind(address)
+        self._receive = receive
+        loop.watch(self._sock, READABLE, self._on_ready)
+
+    def send(self, data: bytes, address: Address) -> None:
+        """Send one datagram; a full buffer or an error loses it."""
+        try:
+            self._sock.sendto(data, address)
+        except OSError:
+            return
+
+    def _on_ready(self, flags: int) -> None:
+        for _ in range(RECEIVES_PER_WAKE):
+            try:
+                data, address = self._sock.recvfrom(LARGEST_DATAGRAM_BYTES)
+            except OSError:
+                return
+            self._receive(data, (address[0], address[1]))
--- /dev/null
+++ b/src/galenaferry/network/fetch.py
@@ -0,0 +1,123 @@
+"""A single HTTP request of this process to the platform or another process."""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from ..clock import Millis
+from ..framing.messages import FramingError, Header, ResponseHead
+from ..framing.responses import ResponseReader
+from .loop import Loop, Timer
+from .stream import Stream, connect
+
+LARGEST_ANSWER_BYTES: Final = 67_108_864
+
+
+class FetchRequest(NamedTuple):
+    """A request whose body is held in memory; ``timeout`` is in milliseconds."""
+
+    address: tuple[str, int]
+    method: str
+    target: str
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+    timeout: Millis = 2000.0
+
+
+class FetchResponse(NamedTuple):
+    """The whole response to a request."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+class FetchError(NamedTuple):
+    """No whole response came.
+
+    ``may_have_run`` is False only where no byte could have left.
+    """
+
+    text: str
+    may_have_run: bool
+
+
+FetchResult = Result[FetchResponse, FetchError]
+
+
+def fetch(
+    loop: Loop, request: FetchRequest, done: Callable[[FetchResult], None]
+) -> None:
+    """Send ``request`` on a new connection and call ``done`` exactly once."""
+    _Fetch(loop, request, done)
+
+
+class _Fetch:
+    def __init__(
+        self, loop: Loop, request: FetchRequest, done: Callable[[FetchResult], None]
+    ) -> None:
+        self._request = request
+        self._done = done
+        self._is_done = False
+        self._head: ResponseHead | None = None
+        self._body: list[bytes] = []
+        self._size = 0
+        self._reader = ResponseReader(self, request.method == "HEAD")
+        self._timer: Timer = loop.after(request.timeout, self._on_timeout)
+        self._stream: Stream = connect(loop, request.address, self)
+
+    def on_connected(self) -> None:
+        request = self._request
+        host = f"{request.address[0]}:{request.address[1]}"
+        lines = [f"{request.method} {request.target} HTTP/1.1".encode()]
+        lines.append(b"host: " + host.encode())
+        lines += [name + b": " + value for name, value in request.headers]
+        lines.append(b"content-length: %d" % len(request.body))
+        lines.append(b"connection: close")
+        head = b"\r\n".join(lines) + b"\r\n\r\n"
+        self._stream.write(head + request.body)
+
+    def on_data(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > LARGEST_ANSWER_BYTES:
+            self._fail("the answer is too large")
+            return
+        try:
+            self._reader.feed(data)
+        except FramingError as error:
+            self._fail(error.text)
+
+    def on_drained(self) -> None:
+        return
+
+    def on_ended(self, reason: str) -> None:
+        try:
+            self._reader.end()
+        except FramingError as error:
+            self._fail(reason or error.text)
+
+    def on_response_head(self, head: ResponseHead) -> None:
+        self._head = head
+
+    def on_response_body(self, data: bytes) -> None:
+        self._body.append(data)
+
+    def on_response_complete(self) -> None:
+        assert self._head is not None
+        body = b"".join(self._body)
+        self._finish(Ok(FetchResponse(self._head.status, self._head.headers, body)))
+
+    def _on_timeout(self) -> None:
+        self._fail(f"no answer within {self._request.timeout:.0f} ms")
+
+    def _fail(self, text: str) -> None:
+        self._finish(Err(FetchError(text, self._stream.bytes_sent > 0)))
+
+    def _finish(self, result: FetchResult) -> None:
+        if self._is_done:
+            return
+        self._is_done = True
+        self._timer.cancel()
+        self._stream.close()
+        self._done(result)
--- /dev/null
+++ b/src/galenaferry/network/listener.py
@@ -0,0 +1,68 @@
+"""A listening TCP socket that hands every new connection to a callback."""
+
+import socket
+from collections.abc import Callable
+from typing import Final
+
+from .loop import READABLE, Loop
+
+BACKLOG: Final = 1024
+ACCEPTS_PER_WAKE: Final = 16
+
+
+class Listener:
+    """Listening socket on the loop.
+
+    Parameters
+    ----------
+    loop : Loop
+    address : tuple of str and int
+    accept : callable
+        Called with every accepted, non-blocking socket.
+
+    Raises
+    ------
+    OSError
+        When the address can't be bound.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        accept: Callable[[socket.socket], None],
+    ) -> None:
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._sock = socket.socket(family, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind(address)
+        self._sock.listen(BACKLOG)
+        self._sock.setblocking(False)
+        self._loop = loop
+        self._accept = accept
+        self.is_open = True
+        loop.watch(self._sock, READABLE, self._on_ready)
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return int(self._sock.getsockname()[1])
+
+    def close(self) -> None:
+        """Take no further connections."""
+        if self.is_open:
+            self.is_open = False
+            self._loop.unwatch(self._sock)
+            self._sock.close()
+
+    def _on_ready(self, flags: int) -> None:
+        for _ in range(ACCEPTS_PER_WAKE):
+            if not self.is_open:
+                return
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._accept(sock)
--- /dev/null
+++ b/src/galenaferry/network/stream.py
@@ -0,0 +1,221 @@
+"""A non-blocking TCP connection with back-pressure in both directions."""
+
+import errno
+import socket
+from collections import deque
+from typing import Final, Protocol
+
+from .loop import BROKEN, READABLE, WRITABLE, Loop
+
+READ_BYTES: Final = 65_536
+HIGH_WATER_BYTES: Final = 262_144
+CONNECTING: Final = (errno.EINPROGRESS, errno.EWOULDBLOCK)
+
+
+class StreamOwner(Protocol):
+    """What a stream tells its owner."""
+
+    def on_connected(self) -> None:
+        """Handle the end of a successful connect."""
+
+    def on_data(self, data: bytes) -> None:
+        """Handle received bytes."""
+
+    def on_drained(self) -> None:
+        """Handle that all written bytes went to the kernel."""
+
+    def on_ended(self, reason: str) -> None:
+        """Handle the end of the receiving direction.
+
+        ``reason`` is empty for an orderly end, else the name of the error.
+        """
+
+
+class Stream:
+    """One TCP connection on the loop.
+
+    Parameters
+    ----------
+    loop : Loop
+    sock : socket.socket
+        Non-blocking socket, connected or connecting.
+    owner : StreamOwner
+    is_connecting : bool
+    """
+
+    __slots__ = (
+        "_flags",
+        "_loop",
+        "_out",
+        "_out_bytes",
+        "_sock",
+        "bytes_received",
+        "bytes_sent",
+        "is_connecting",
+        "is_open",
+        "owner",
+    )
+
+    def __init__(
+        self, loop: Loop, sock: socket.socket, owner: StreamOwner, is_connecting: bool
+    ) -> None:
+        self._loop = loop
+        self._sock = sock
+        self.owner = owner
+        self.is_connecting = is_connecting
+        self.is_open = True
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._out: deque[memoryview | bytes] = deque()
+        self._out_bytes = 0
+        self._flags = WRITABLE if is_connecting else READABLE
+        loop.watch(sock, self._flags, self._on_ready)
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether the writer should wait for ``on_drained``."""
+        return self._out_bytes >= HIGH_WATER_BYTES
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether written bytes wait for the kernel."""
+        return bool(self._out)
+
+    @property
+    def peer(self) -> str:
+        """Address of the other end as ``IP:PORT``."""
+        try:
+            host, port = self._sock.getpeername()[:2]
+        except OSError:
+            return "unconnected"
+        return f"{host}:{port}"
+
+    def write(self, data: bytes) -> None:
+        """Send ``data``, now or when the kernel takes it."""
+        if not self.is_open or not data:
+            return
+        if self._out or self.is_connecting:
+            self._queue(data)
+            return
+        sent = self._send(data)
+        if sent < len(data) and self.is_open:
+            self._queue(memoryview(data)[sent:])
+
+    def pause(self) -> None:
+        """Stop receiving, so that the sender feels the back-pressure."""
+        self._set_flags(self._flags & ~READABLE)
+
+    def resume(self) -> None:
+        """Receive again."""
+        if not self.is_connecting:
+            self._set_flags(self._flags | READABLE)
+
+    def close(self) -> None:
+        """Close at once; queued bytes are dropped and no callback follows."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self._out.clear()
+        self._loop.unwatch(self._sock)
+        self._sock.close()
+
+    def finish(self) -> None:
+        """End the sending direction in order, the receiving one stays."""
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+
+    def _queue(self, data: memoryview | bytes) -> None:
+        self._out.append(data)
+        self._out_bytes += len(data)
+        self._set_flags(self._flags | WRITABLE)
+
+    def _send(self, data: memoryview | bytes) -> int:
+        try:
+            sent = self._sock.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            self._fail(error)
+            return 0
+        self.bytes_sent += sent
+        return sent
+
+    def _set_flags(self, flags: int) -> None:
+        if self.is_open and flags != self._flags:
+            self._flags = flags
+            self._loop.change(self._sock, flags)
+
+    def _on_ready(self, flags: int) -> None:
+        if self.is_connecting:
+            self._finish_connect()
+            return
+        if flags & READABLE:
+            self._receive()
+        elif flags & BROKEN:
+            self._fail(OSError(errno.ECONNRESET, "connection broken"))
+        if self.is_open and flags & WRITABLE:
+            self._flush()
+
+    def _finish_connect(self) -> None:
+        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._fail(OSError(code, "connect failed"))
+            return
+        self.is_connecting = False
+        self._set_flags(READABLE | (WRITABLE if self._out else 0))
+        self.owner.on_connected()
+
+    def _receive(self) -> None:
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(error)
+            return
+        if data:
+            self.bytes_received += len(data)
+            self.owner.on_data(data)
+            return
+        self._set_flags(self._flags & ~READABLE)
+        self.owner.on_ended("")
+
+    def _flush(self) -> None:
+        while self._out:
+            data = self._out[0]
+            sent = self._send(data)
+            self._out_bytes -= sent
+            if not self.is_open:
+                return
+            if sent < len(data):
+                self._out[0] = memoryview(data)[sent:]
+                return
+            self._out.popleft()
+        self._set_flags(self._flags & ~WRITABLE)
+        self.owner.on_drained()
+
+    def _fail(self, error: OSError) -> None:
+        self.close()
+        self.owner.on_ended(errno.errorcode.get(error.errno or 0, "EIO"))
+
+
+def connect(loop: Loop, address: tuple[str, int], owner: StreamOwner) -> Stream:
+    """Start a connection; ``owner`` learns of success or failure later."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    code = sock.connect_ex(address)
+    stream = Stream(loop, sock, owner, is_connecting=True)
+    if code and code not in CONNECTING:
+        reason = errno.errorcode.get(code, "EIO")
+        loop.after(0.0, lambda: _report_failure(stream, reason))
+    return stream
+
+
+def _report_failure(stream: Stream, reason: str) -> None:
+    if stream.is_open:
+        stream.close()
+        stream.owner.on_ended(reason)
--- /dev/null
+++ b/src/galenaferry/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/src/galenaferry/operator/client.py
@@ -0,0 +1,45 @@
+"""Blocking calls of the command line to a VM's administration interface."""
+
+import http.client
+import json
+from typing import Any, Final, NamedTuple
+
+from result import Err, Ok, Result
+
+TIMEOUT_SECONDS: Final = 10.0
+
+
+class AdminTarget(NamedTuple):
+    """Address of an administration interface and the token for it."""
+
+    address: tuple[str, int]
+    token: str
+
+
+class Answer(NamedTuple):
+    """Status and JSON data, or the text where the answer is no JSON."""
+
+    status: int
+    data: Any
+
+
+def call(
+    target: AdminTarget, method: str, path: str, body: Any = None
+) -> Result[Answer, str]:
+    """Return the answer, or why there is none."""
+    connection = http.client.HTTPConnection(*target.address, timeout=TIMEOUT_SECONDS)
+    headers = {"Authorization": f"Bearer {target.token}"} if target.token else {}
+    payload = None if body is None else json.dumps(body)
+    try:
+        connection.request(method, path, payload, headers)
+        response = connection.getresponse()
+        text = response.read().decode()
+    except (OSError, http.client.HTTPException) as error:
+        host, port = target.address
+        return Err(f"{host}:{port} does not answer: {error}")
+    finally:
+        connection.close()
+    try:
+        return Ok(Answer(response.status, json.loads(text)))
+    except ValueError:
+        return Ok(Answer(response.status, text))
--- /dev/null
+++ b/src/galenaferry/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated datagrams between the VMs of the fleet."""
--- /dev/null
+++ b/src/galenaferry/peers/codec.py
@@ -0,0 +1,167 @@
+"""Bytes of the datagrams: Cap'n Proto, packed, behind an authentication code."""
+
+import hashlib
+import hmac
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import capnp
+from result import Err, Ok, Result
+
+from ..configuration.messages import decode_change, encode_change
+from ..configuration.spreading import Pull, Push
+from ..health.messages import Counts, HealthState, Report, Verdict, Verdicts
+from ..membership.messages import Freshness, Heartbeat, Member
+
+capnp.remove_import_hook()
+SCHEMA: Final = capnp.load(str(Path(__file__).with_name("datagram.capnp")))
+CODE_BYTES: Final = 16
+LARGEST_AGE_MS: Final = 0xFFFF_FFFF
+LARGEST_COUNT: Final = 0xFFFF_FFFF
+
+Message = Heartbeat | Push | Pull | Report | Verdicts
+
+
+class Datagram(NamedTuple):
+    """A message and the VM that sent it."""
+
+    sender: Member
+    message: Message
+
+
+class PeerKeys(NamedTuple):
+    """Keys of the fleet; during a rotation the previous one is valid too."""
+
+    current: bytes
+    previous: bytes = b""
+
+
+def encode(datagram: Datagram, keys: PeerKeys) -> bytes:
+    """Return the bytes of a datagram, signed by the current key."""
+    root = SCHEMA.Datagram.new_message()
+    _fill_member(root.sender, datagram.sender)
+    _fill_body(root.body, datagram.message)
+    payload = root.to_bytes_packed()
+    return _code(payload, keys.current) + payload
+
+
+def decode(data: bytes, keys: PeerKeys) -> Result[Datagram, str]:
+    """Return the datagram in ``data``, or why it is refused."""
+    code, payload = data[:CODE_BYTES], data[CODE_BYTES:]
+    if not _is_authentic(code, payload, keys):
+        return Err("the authentication code is wrong")
+    try:
+        root = SCHEMA.Datagram.from_bytes_packed(payload)
+        return Ok(Datagram(_read_member(root.sender), _read_body(root.body)))
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        return Err(f"malformed: {error}")
+
+
+def _code(payload: bytes, key: bytes) -> bytes:
+    return hashlib.blake2b(payload, digest_size=CODE_BYTES, key=key[:64]).digest()
+
+
+def _is_authentic(code: bytes, payload: bytes, keys: PeerKeys) -> bool:
+    return any(
+        hmac.compare_digest(code, _code(payload, key))
+        for key in (keys.current, keys.previous)
+        if key
+    )
+
+
+def _fill_member(target: Any, member: Member) -> None:
+    target.address = member.address
+    target.incarnation = member.incarnation
+    target.counter = member.counter
+    target.zone = member.zone
+    target.region = member.region
+    target.isLeaving = member.is_leaving
+    target.version = member.version
+
+
+def _read_member(source: Any) -> Member:
+    return Member(
+        address=source.address,
+        incarnation=source.incarnation,
+        counter=source.counter,
+        zone=source.zone,
+        region=source.region,
+        is_leaving=source.isLeaving,
+        version=source.version,
+    )
+
+
+def _fill_body(body: Any, message: Message) -> None:
+    match message:
+        case Heartbeat():
+            _fill_heartbeat(body.init("heartbeat"), message)
+        case Push(changes):
+            body.push = [encode_change(change) for change in changes]
+        case Pull(after):
+            body.pull = after
+        case Report(counts):
+            _fill_counts(body.init("report", len(counts)), counts)
+        case Verdicts(verdicts):
+            _fill_verdicts(body.init("verdicts", len(verdicts)), verdicts)
+
+
+def _fill_heartbeat(target: Any, heartbeat: Heartbeat) -> None:
+    target.version = heartbeat.version
+    target.digest = heartbeat.digest
+    target.readAgeMs = min(heartbeat.freshness.read_age, LARGEST_AGE_MS)
+    target.isPlatformDown = heartbeat.freshness.is_platform_down
+    sample = target.init("sample", len(heartbeat.sample))
+    for number, member in enumerate(heartbeat.sample):
+        _fill_member(sample[number], member)
+
+
+def _fill_counts(target: Any, counts: tuple[Counts, ...]) -> None:
+    for number, row in enumerate(counts):
+        place = target[number]
+        place.key = row.key
+        place.requests = row.requests & LARGEST_COUNT
+        place.failures = row.failures & LARGEST_COUNT
+        place.slow = row.slow & LARGEST_COUNT
+
+
+def _fill_verdicts(target: Any, verdicts: tuple[Verdict, ...]) -> None:
+    for number, row in enumerate(verdicts):
+        place = target[number]
+        place.key = row.key
+        place.state = int(row.state)
+        place.permille = row.permille
+        place.badness = row.badness
+
+
+def _read_body(body: Any) -> Message:
+    match body.which():
+        case "heartbeat":
+            return _read_heartbeat(body.heartbeat)
+        case "push":
+            return Push(tuple(decode_change(text) for text in body.push))
+        case "pull":
+            return Pull(body.pull)
+        case "report":
+            return Report(
+                tuple(
+                    Counts(row.key, row.requests, row.failures, row.slow)
+                    for row in body.report
+                )
+            )
+        case "verdicts":
+            return Verdicts(
+                tuple(
+                    Verdict(row.key, HealthState(row.state), row.permille, row.badness)
+                    for row in body.verdicts
+                )
+            )
+    raise ValueError("unknown message")
+
+
+def _read_heartbeat(source: Any) -> Heartbeat:
+    return Heartbeat(
+        version=source.version,
+        digest=source.digest,
+        freshness=Freshness(source.readAgeMs, source.isPlatformDown),
+        sample=tuple(_read_member(member) for member in source.sample),
+    )
--- /dev/null
+++ b/src/galenaferry/peers/component.py
@@ -0,0 +1,104 @@
+"""The peer socket of a VM: sends messages and hands received ones out."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from circuits import BaseComponent
+from result import Err
+
+from ..configuration.spreading import Pull, Push
+from ..health.messages import Report, Verdicts
+from ..logs import logger
+from ..membership.messages import Heartbeat, Member
+from ..network.datagrams import Address, DatagramSocket
+from ..network.loop import Loop
+from .codec import Datagram, Message, PeerKeys, decode, encode
+
+log = logger("peers")
+
+
+class Receivers(Protocol):
+    """Where received messages go."""
+
+    def on_heartbeat(self, sender: Member, heartbeat: Heartbeat) -> None:
+        """Take a heartbeat."""
+
+    def on_configuration(self, sender: Member, message: Push | Pull) -> None:
+        """Take changes or a request for some."""
+
+    def on_report(self, sender: Member, report: Report) -> None:
+        """Take evidence."""
+
+    def on_verdicts(self, sender: Member, verdicts: Verdicts) -> None:
+        """Take verdicts."""
+
+
+class PeersComponent(BaseComponent):
+    """Datagrams to and from the other VMs of the fleet.
+
+    Parameters
+    ----------
+    loop : Loop
+    address : tuple of str and int
+    keys : PeerKeys
+    me : callable
+        Gives this VM's own member entry.
+    receivers : Receivers
+    """
+
+    channel = "peers"
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        keys: PeerKeys,
+        me: Callable[[], Member],
+        receivers: Receivers,
+    ) -> None:
+        super().__init__()
+        self._keys = keys
+        self._me = me
+        self._receivers = receivers
+        self._socket = DatagramSocket(loop, address, self._on_datagram)
+        self._sent = 0
+        self._bytes_sent = 0
+        self._received = 0
+        self._bytes_received = 0
+        self._refused = 0
+
+    def send(self, address: str, message: Message) -> None:
+        """Send one message to the VM at ``address`` (IP:PORT)."""
+        data = encode(Datagram(self._me(), message), self._keys)
+        host, _, port = address.rpartition(":")
+        self._sent += 1
+        self._bytes_sent += len(data)
+        self._socket.send(data, (host, int(port)))
+
+    def dump(self) -> dict[str, Any]:
+        """Return the counters as JSON data."""
+        return {
+            "datagrams_sent": self._sent,
+            "bytes_sent": self._bytes_sent,
+            "datagrams_received": self._received,
+            "bytes_received": self._bytes_received,
+            "datagrams_refused": self._refused,
+        }
+
+    def _on_datagram(self, data: bytes, address: Address) -> None:
+        self._received += 1
+        self._bytes_received += len(data)
+        result = decode(data, self._keys)
+        if isinstance(result, Err):
+            self._refused += 1
+            return
+        sender, message = result.ok_value
+        match message:
+            case Heartbeat():
+                self._receivers.on_heartbeat(sender, message)
+            case Push() | Pull():
+                self._receivers.on_configuration(sender, message)
+            case Report():
+                self._receivers.on_report(sender, message)
+            case Verdicts():
+                self._receivers.on_verdicts(sender, message)
--- /dev/null
+++ b/src/galenaferry/platform/client.py
@@ -0,0 +1,169 @@
+"""Client of the platform over its HTTP protocol (docs/INTERFACES.md)."""
+
+import json
+from collections.abc import Callable
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from ..backends.messages import Instance
+from ..membership.messages import Member
+from ..network.fetch import FetchRequest, FetchResponse, FetchResult, fetch
+from ..network.loop import Loop
+from .messages import (
+    CommitDone,
+    Committed,
+    Conflict,
+    ListDone,
+    ObjectDone,
+    PlatformError,
+    ReadDone,
+    Row,
+    ScanDone,
+    StoreDone,
+    Transaction,
+    VmList,
+)
+
+T = TypeVar("T")
+
+
+class PlatformClient:
+    """Asynchronous calls to the platform.
+
+    Parameters
+    ----------
+    loop : Loop
+    address : tuple of str and int
+    timeout_ms : int
+    """
+
+    def __init__(self, loop: Loop, address: tuple[str, int], timeout_ms: int) -> None:
+        self._loop = loop
+        self._address = address
+        self._timeout_ms = timeout_ms
+
+    def read(self, key: str, done: ReadDone) -> None:
+        """Read one row, None where it does not exist."""
+        self._get(f"/table/rows?key={quote(key, safe='')}", _parse_row, done)
+
+    def scan(self, prefix: str, after: str, limit: int, done: ScanDone) -> None:
+        """Read up to ``limit`` rows whose keys follow ``after``, in order."""
+        target = (
+            f"/table/scan?prefix={quote(prefix, safe='')}"
+            f"&after={quote(after, safe='')}&limit={limit}"
+        )
+        self._get(target, _parse_rows, done)
+
+    def commit(self, transaction: Transaction, done: CommitDone) -> None:
+        """Write rows together if all conditions hold."""
+        body = {
+            "conditions": [list(row) for row in transaction.conditions],
+            "puts": [list(row) for row in transaction.puts],
+        }
+        request = self._request("POST", "/table/transactions", json.dumps(body))
+        self._fetch(request, _parse_commit, done)
+
+    def list_vms(self, since: int, done: ListDone) -> None:
+        """Read the VM list; an unchanged one comes without rows."""
+        self._get(f"/vms?since={since}", _parse_list, done)
+
+    def get_object(self, name: str, done: ObjectDone) -> None:
+        """Read an object, None where it does not exist."""
+        self._get(f"/objects?name={quote(name, safe='')}", _parse_object, done)
+
+    def put_object(self, name: str, text: str, done: StoreDone) -> None:
+        """Write an object."""
+        request = self._request("PUT", f"/objects?name={quote(name, safe='')}", text)
+        self._fetch(request, lambda response: None, done)
+
+    def _request(self, method: str, target: str, body: str) -> FetchRequest:
+        return FetchRequest(
+            self._address,
+            method,
+            target,
+            body=body.encode(),
+            timeout=float(self._timeout_ms),
+        )
+
+    def _get(
+        self,
+        target: str,
+        parse: Callable[[FetchResponse], T],
+        done: Callable[[Result[T, PlatformError]], None],
+    ) -> None:
+        self._fetch(self._request("GET", target, ""), parse, done)
+
+    def _fetch(
+        self,
+        request: FetchRequest,
+        parse: Callable[[FetchResponse], T],
+        done: Callable[[Result[T, PlatformError]], None],
+    ) -> None:
+        def finish(result: FetchResult) -> None:
+            done(_interpret(result, parse))
+
+        fetch(self._loop, request, finish)
+
+
+def _interpret(
+    result: FetchResult, parse: Callable[[FetchResponse], T]
+) -> Result[T, PlatformError]:
+    if isinstance(result, Err):
+        error = result.err_value
+        return Err(PlatformError(error.text, error.may_have_run))
+    response = result.ok_value
+    if response.status >= 500:
+        return Err(PlatformError(f"status {response.status}", True))
+    try:
+        return Ok(parse(response))
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(PlatformError(f"bad answer: {error!r}", True))
+
+
+def _json(response: FetchResponse) -> Any:
+    return json.loads(response.body)
+
+
+def _parse_row(response: FetchResponse) -> Row | None:
+    if response.status == 404:
+        return None
+    data = _json(response)
+    return Row(data["key"], data["value"], data["revision"])
+
+
+def _parse_rows(response: FetchResponse) -> list[Row]:
+    return [
+        Row(row["key"], row["value"], row["revision"])
+        for row in _json(response)["rows"]
+    ]
+
+
+def _parse_commit(response: FetchResponse) -> Committed | Conflict:
+    data = _json(response)
+    if response.status == 409:
+        return Conflict(data["conflict"])
+    if response.status != 200:
+        raise ValueError(f"status {response.status}")
+    return Committed(data["revision"])
+
+
+def _parse_object(response: FetchResponse) -> str | None:
+    return None if response.status == 404 else response.body.decode()
+
+
+def _parse_list(response: FetchResponse) -> VmList:
+    data = _json(response)
+    entries, instances = [], []
+    for row in data["rows"]:
+        is_leaving = row["state"] == "leaving"
+        if row["role"] == "entry":
+            entries.append(
+                Member(row["address"], 0, 0, row["zone"], row["region"], is_leaving, 0)
+            )
+        else:
+            instances.append(
+                Instance(row["address"], row["service"], row["zone"], is_leaving)
+            )
+    return VmList(data["revision"], tuple(entries), tuple(instances))
--- /dev/null
+++ b/src/galenaferry/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests: their connections, exchanges and waiting."""
--- /dev/null
+++ b/src/galenaferry/requests/attempt.py
@@ -0,0 +1,244 @@
+"""One attempt: a request on its way to one instance and the response back."""
+
+from typing import Protocol
+
+from ..attempts.messages import (
+    BadResponse,
+    BrokenResponse,
+    BrokenSent,
+    BrokenUnsent,
+    Ending,
+    NotConnected,
+    TimedOut,
+)
+from ..backends.connection import BackendConnection
+from ..backends.pool import InstancePool
+from ..clock import Millis
+from ..configuration.policy import Policy
+from ..framing.heads import LAST_CHUNK, encode_chunk
+from ..framing.messages import ResponseHead
+from ..network.loop import Loop, Timer
+from .body import RequestBody
+
+
+class AttemptOwner(Protocol):
+    """What an attempt tells its exchange."""
+
+    def on_attempt_sending(self) -> None:
+        """Handle that the request is about to be sent."""
+
+    def on_attempt_head(self, head: ResponseHead) -> bool:
+        """Handle the head; False gives the response up."""
+
+    def on_attempt_body(self, data: bytes) -> None:
+        """Handle a part of the response's body."""
+
+    def on_attempt_complete(self) -> None:
+        """Handle the end of the response."""
+
+    def on_attempt_ended(self, ending: Ending) -> None:
+        """Handle an end without a whole response."""
+
+    def on_body_wanted(self) -> None:
+        """Handle that more of the request's body can be sent."""
+
+
+class Attempt:
+    """A request bound to one connection of one instance.
+
+    Parameters
+    ----------
+    loop : Loop
+    pool : InstancePool
+    connection : BackendConnection
+    owner : AttemptOwner
+    policy : Policy
+    """
+
+    __slots__ = (
+        "_body",
+        "_connection",
+        "_head",
+        "_is_body_sent",
+        "_is_chunked",
+        "_is_done",
+        "_is_head_passed",
+        "_loop",
+        "_owner",
+        "_policy",
+        "_timer",
+        "pool",
+        "started",
+    )
+
+    def __init__(
+        self,
+        loop: Loop,
+        pool: InstancePool,
+        connection: BackendConnection,
+        owner: AttemptOwner,
+        policy: Policy,
+    ) -> None:
+        self._loop = loop
+        self.pool = pool
+        self._connection = connection
+        self._owner = owner
+        self._policy = policy
+        self._timer: Timer | None = None
+        self._head = b""
+        self._body = RequestBody()
+        self._is_chunked = False
+        self._is_body_sent = False
+        self._is_head_passed = False
+        self._is_done = False
+        self.started: Millis = loop.clock.now()
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the attempt has given its connection back."""
+        return self._is_done
+
+    def start(
+        self, head: bytes, body: RequestBody, is_chunked: bool, is_head: bool
+    ) -> None:
+        """Send the request as soon as the connection is there."""
+        self._head = head
+        self._body = body
+        self._is_chunked = is_chunked
+        self._connection.lend(self, is_head)
+        if self._connection.is_connected:
+            self._send_head()
+        else:
+            self._arm(self._policy.connect_timeout_ms)
+
+    def send_body(self) -> None:
+        """Send parts of the body that have come since."""
+        if self._is_done or not self._head or not self._connection.is_connected:
+            return
+        self._pump()
+
+    def pause(self) -> None:
+        """Stop receiving because the caller is slow."""
+        self._connection.pause()
+
+    def resume(self) -> None:
+        """Receive again."""
+        self._connection.resume()
+
+    def abandon(self) -> None:
+        """Give the attempt up; its connection is never used again."""
+        if not self._is_done:
+            self._finish()
+            self.pool.discard(self._connection)
+
+    def on_backend_connected(self) -> None:
+        """Send the request (called by the connection)."""
+        self._send_head()
+
+    def on_backend_drained(self) -> None:
+        """Send more of the body (called by the connection)."""
+        if not self._is_done:
+            self._pump()
+
+    def on_backend_head(self, head: ResponseHead) -> None:
+        """Offer the head to the exchange (called by the connection)."""
+        if self._is_done:
+            return
+        self._arm(self._policy.idle_timeout_ms)
+        self._is_head_passed = self._owner.on_attempt_head(head)
+        if not self._is_head_passed:
+            self.abandon()
+
+    def on_backend_body(self, data: bytes) -> None:
+        """Pass on a part of the body (called by the connection)."""
+        if not self._is_done:
+            self._owner.on_attempt_body(data)
+
+    def on_backend_complete(self) -> None:
+        """Free the connection and end (called by the connection)."""
+        if self._is_done:
+            return
+        self._finish()
+        # The reader learns of excess bytes only after this call returns.
+        self._loop.after(0.0, self._return_connection)
+        self._owner.on_attempt_complete()
+
+    def on_backend_broken(self, reason: str) -> None:
+        """End the attempt by what the break proves (called by the connection)."""
+        if self._is_head_passed:
+            self._end(BrokenResponse(reason))
+        elif not self._connection.is_connected:
+            self._end(NotConnected(reason))
+        elif not self._connection.has_sent:
+            self._end(BrokenUnsent(reason))
+        else:
+            self._end(BrokenSent(reason, self._connection.is_reused))
+
+    def on_backend_bad(self, text: str) -> None:
+        """End the attempt after a framing error (called by the connection)."""
+        if self._is_head_passed:
+            self._end(BrokenResponse(text))
+        else:
+            self._end(BadResponse(text))
+
+    def _send_head(self) -> None:
+        self._arm(self._policy.attempt_timeout_ms)
+        self._owner.on_attempt_sending()
+        parts = [self._head]
+        if self._body.has_unsent and not self._is_chunked:
+            parts += self._body.take()
+        self._connection.write(b"".join(parts))
+        if not self._is_done:
+            self._pump()
+
+    def _pump(self) -> None:
+        """Send what the connection takes of the body."""
+        body = self._body
+        if self._is_body_sent:
+            return
+        if body.has_unsent:
+            if self._connection.is_congested:
+                return
+            parts = body.take()
+            if self._is_chunked:
+                parts = [encode_chunk(part) for part in parts]
+            self._arm(self._policy.attempt_timeout_ms)
+            self._connection.write(b"".join(parts))
+            if self._is_done:
+                return
+        if body.is_complete:
+            self._is_body_sent = True
+            if self._is_chunked:
+                self._connection.write(LAST_CHUNK)
+            return
+        self._owner.on_body_wanted()
+
+    def _return_connection(self) -> None:
+        if self._is_body_sent and self._connection.is_reusable:
+            self._connection.give_back()
+            self.pool.release(self._connection)
+        else:
+            self.pool.discard(self._connection)
+
+    def _arm(self, interval: Millis) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.after(interval, self._on_timeout)
+
+    def _on_timeout(self) -> None:
+        if self._is_head_passed:
+            self._end(BrokenResponse("idle for too long"))
+        elif not self._connection.is_connected:
+            self._end(NotConnected("no connection in time"))
+        else:
+            self._end(TimedOut(self._connection.is_reused))
+
+    def _end(self, ending: Ending) -> None:
+        if not self._is_done:
+            self.abandon()
+            self._owner.on_attempt_ended(ending)
+
+    def _finish(self) -> None:
+        self._is_done = True
+        if self._timer is not None:
+            self._timer.cancel()
--- /dev/null
+++ b/src/galenaferry/requests/caller.py
@@ -0,0 +1,243 @@
+"""One caller's connection: its requests in order, its answers in order."""
+
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+from ..clock import Millis
+from ..framing.heads import CONTINUE, LAST_CHUNK, encode_chunk, encode_response
+from ..framing.messages import FramingError, Header, RequestHead, ResponseHead
+from ..framing.requests import RequestLimits, RequestReader
+from ..framing.responses import BODILESS_STATUSES
+from ..network.stream import Stream
+from .context import RequestContext
+from .exchange import Exchange
+
+LIMITS: Final = RequestLimits(head_bytes=32_768, body_bytes=1 << 40)
+PIPELINE_LIMIT: Final = 32
+
+
+class CallerConnection:
+    """Connection that answers its requests one after the other.
+
+    Parameters
+    ----------
+    context : RequestContext
+    sock : socket.socket
+    on_closed : callable
+    """
+
+    __slots__ = (
+        "_answer_is_chunked",
+        "_context",
+        "_exchanges",
+        "_is_answer_bodiless",
+        "_is_answer_last",
+        "_is_input_over",
+        "_is_reading_body",
+        "_on_closed",
+        "_reader",
+        "_stream",
+        "last_progress",
+    )
+
+    def __init__(
+        self,
+        context: RequestContext,
+        sock: socket.socket,
+        on_closed: Callable[["CallerConnection"], None],
+    ) -> None:
+        self._context = context
+        self._on_closed = on_closed
+        self._exchanges: deque[Exchange] = deque()
+        self._is_reading_body = False
+        self._is_input_over = False
+        self._answer_is_chunked = False
+        self._is_answer_bodiless = False
+        self._is_answer_last = False
+        self.last_progress: Millis = context.loop.clock.now()
+        self._reader = RequestReader(self, LIMITS)
+        self._stream = Stream(context.loop, sock, self, is_connecting=False)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is in progress."""
+        return not self._exchanges and self._reader.is_between_requests
+
+    @property
+    def has_exchange(self) -> bool:
+        """Whether a request waits for its answer."""
+        return bool(self._exchanges)
+
+    def close(self) -> None:
+        """Close the connection and give up its requests."""
+        if self._stream.is_open:
+            self._stream.close()
+        self._drop_exchanges()
+        self._on_closed(self)
+
+    def on_connected(self) -> None:
+        """Do nothing: accepted connections are connected."""
+
+    def on_data(self, data: bytes) -> None:
+        """Parse received bytes (called by the stream)."""
+        self.last_progress = self._context.loop.clock.now()
+        try:
+            self._reader.feed(data)
+        except FramingError as error:
+            self._on_framing_error(error)
+
+    def on_drained(self) -> None:
+        """Go on with the answer (called by the stream)."""
+        self.last_progress = self._context.loop.clock.now()
+        if self._exchanges:
+            self._exchanges[0].on_caller_drained()
+
+    def on_ended(self, reason: str) -> None:
+        """Handle the end of the caller's sending (called by the stream)."""
+        self._is_input_over = True
+        if reason or self._is_reading_body or not self._exchanges:
+            self.close()
+
+    def on_head(self, head: RequestHead) -> None:
+        """Take the head of a request (called by the reader)."""
+        if self._is_input_over:
+            return
+        exchange = Exchange(self._context, self, head)
+        self._exchanges.append(exchange)
+        self._is_reading_body = True
+        if len(self._exchanges) == 1:
+            exchange.begin()
+        elif len(self._exchanges) >= PIPELINE_LIMIT:
+            self._stream.pause()
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of a body (called by the reader)."""
+        if self._exchanges and self._is_reading_body:
+            self._exchanges[-1].on_body(data)
+
+    def on_complete(self) -> None:
+        """Take the end of a request (called by the reader)."""
+        is_expected = self._is_reading_body
+        self._is_reading_body = False
+        if self._exchanges and is_expected:
+            self._exchanges[-1].on_body_complete()
+
+    def start_answer(self, head: ResponseHead, extra: tuple[Header, ...]) -> None:
+        """Send the head of the answer to the first request."""
+        request = self._exchanges[0].head
+        self._is_answer_bodiless = (
+            request.method == b"HEAD" or head.status in BODILESS_STATUSES
+        )
+        has_end = head.length is not None or self._is_answer_bodiless
+        self._answer_is_chunked = not has_end and request.version == "1.1"
+        is_body_missing = (
+            self._is_reading_body and len(self._exchanges) == 1 and request.length != 0
+        )
+        self._is_answer_last = (
+            not request.is_persistent
+            or self._context.is_stopping
+            or self._is_input_over
+            or is_body_missing
+            or not (has_end or self._answer_is_chunked)
+        )
+        self._stream.write(
+            encode_response(head, extra, self._answer_is_chunked, self._is_answer_last)
+        )
+
+    def answer_body(self, data: bytes) -> bool:
+        """Send a part of the answer's body."""
+        if not self._is_answer_bodiless:
+            self._stream.write(encode_chunk(data) if self._answer_is_chunked else data)
+        return not self._stream.is_congested
+
+    def end_answer(self) -> None:
+        """End the answer and go on with the next request."""
+        if self._answer_is_chunked:
+            self._stream.write(LAST_CHUNK)
+        if not self._exchanges:
+            return
+        self._exchanges.popleft()
+        if self._is_answer_last:
+            self._close_after_answer()
+            return
+        self._stream.resume()
+        if self._exchanges:
+            self._exchanges[0].begin()
+        elif self._is_input_over:
+            self._close_after_answer()
+
+    def break_answer(self) -> None:
+        """Close without the end of the answer, so that the caller sees it cut."""
+        self.close()
+
+    def send_continue(self) -> None:
+        """Ask for the body."""
+        self._stream.write(CONTINUE)
+
+    def pause_body(self) -> None:
+        """Stop receiving."""
+        self._stream.pause()
+
+    def resume_body(self) -> None:
+        """Receive again."""
+        if not self._is_input_over and len(self._exchanges) < PIPELINE_LIMIT:
+            self._stream.resume()
+
+    def _close_after_answer(self) -> None:
+        """End the sending direction in order, and close when the caller does."""
+        self._is_input_over = True
+        self._is_reading_body = False
+        self._drop_exchanges()
+        self._stream.owner = _Lingering(self)
+        self._stream.resume()
+        if self._stream.has_unsent:
+            return
+        self._stream.finish()
+
+    def _drop_exchanges(self) -> None:
+        exchanges, self._exchanges = self._exchanges, deque()
+        for exchange in exchanges:
+            exchange.on_caller_left()
+
+    def _on_framing_error(self, error: FramingError) -> None:
+        """Answer a request that breaks the framing rules, then close."""
+        self._context.counters.framing_errors += 1
+        self._is_input_over = True
+        self._stream.pause()
+        if self._is_reading_body and len(self._exchanges) == 1:
+            self._exchanges[0].refuse(error.status, error.text)
+            return
+        if self._exchanges:
+            # Earlier requests are still in progress: they get their answers and
+            # the connection closes without one for the broken request.
+            if self._is_reading_body:
+                self._exchanges.pop()
+                self._is_reading_body = False
+            return
+        exchange = Exchange(self._context, self, BROKEN_HEAD)
+        self._exchanges.append(exchange)
+        exchange.refuse(error.status, error.text)
+
+
+class _Lingering:
+    """Owner of a stream after its last answer: waits for the caller's end."""
+
+    def __init__(self, connection: CallerConnection) -> None:
+        self._connection = connection
+
+    def on_connected(self) -> None:
+        return
+
+    def on_data(self, data: bytes) -> None:
+        return
+
+    def on_drained(self) -> None:
+        self._connection._stream.finish()
+
+    def on_ended(self, reason: str) -> None:
+        self._connection.close()
+
+
+BROKEN_HEAD: Final = RequestHead(b"GET", b"/", "1.1", (), 0, False, False)
--- /dev/null
+++ b/src/galenaferry/requests/component.py
@@ -0,0 +1,72 @@
+"""The component that accepts callers."""
+
+import socket
+from typing import Final
+
+from circuits import BaseComponent
+
+from ..network.listener import Listener
+from .caller import CallerConnection
+from .context import RequestContext
+
+SWEEP_MS: Final = 1000.0
+HEAD_TIMEOUT_MS: Final = 10_000.0
+IDLE_TIMEOUT_MS: Final = 75_000.0
+
+
+class RequestsComponent(BaseComponent):
+    """Callers' connections of this VM.
+
+    Parameters
+    ----------
+    context : RequestContext
+    address : tuple of str and int
+    """
+
+    channel = "requests"
+
+    def __init__(self, context: RequestContext, address: tuple[str, int]) -> None:
+        super().__init__()
+        self.context = context
+        self._callers: set[CallerConnection] = set()
+        self._listener = Listener(context.loop, address, self._accept)
+        context.loop.every(SWEEP_MS, self._sweep)
+        context.directory.on_capacity = context.wake
+
+    @property
+    def port(self) -> int:
+        """The port that callers connect to."""
+        return self._listener.port
+
+    @property
+    def caller_count(self) -> int:
+        """Number of open callers' connections."""
+        return len(self._callers)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of connections with a request in progress."""
+        return sum(1 for caller in self._callers if caller.has_exchange)
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket and idle connections."""
+        self._listener.close()
+        for caller in list(self._callers):
+            if caller.is_idle:
+                caller.close()
+
+    def _accept(self, sock: socket.socket) -> None:
+        self._callers.add(CallerConnection(self.context, sock, self._forget))
+
+    def _forget(self, caller: CallerConnection) -> None:
+        self._callers.discard(caller)
+
+    def _sweep(self) -> None:
+        """Close connections that are idle or slow to send a head."""
+        now = self.context.loop.clock.now()
+        for caller in list(self._callers):
+            idle = now - caller.last_progress
+            limit = IDLE_TIMEOUT_MS if caller.is_idle else HEAD_TIMEOUT_MS
+            if not caller.has_exchange and idle > limit:
+                caller.close()
+        self.context.directory.close_idle()
--- /dev/null
+++ b/src/galenaferry/requests/messages.py
@@ -0,0 +1,34 @@
+"""Headers and counters of the request path."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+RAN: Final = b"galenaferry-ran"
+TIME_LEFT: Final = b"galenaferry-time-left-ms"
+ATTEMPT: Final = b"galenaferry-attempt"
+REASON: Final = b"galenaferry-reason"
+REQUEST_ID: Final = b"x-request-id"
+IDEMPOTENCY_KEY: Final = b"idempotency-key"
+RETRY_AFTER: Final = b"retry-after"
+
+
+@dataclass(slots=True)
+class RequestCounters:
+    """Counts since the start of the process."""
+
+    received: int = 0
+    answered: int = 0
+    refused_not_run: int = 0
+    ended_unknown: int = 0
+    retried: int = 0
+    shed: int = 0
+    broken_after_head: int = 0
+    callers_left: int = 0
+    remote_zone: int = 0
+    framing_errors: int = 0
+    queued: int = 0
+    by_status: dict[int, int] = field(default_factory=dict)
+
+    def count_status(self, status: int) -> None:
+        """Count an answer by its status."""
+        self.by_status[status] = self.by_status.get(status, 0) + 1
--- /dev/null
+++ b/src/galenaferry/stand_ins/backend.py
@@ -0,0 +1,189 @@
+"""A backend server's stand-in: ``python -m galenaferry.stand_ins.backend``.
+
+``GET /health`` always says that all is well. ``PUT /mode`` changes the
+behaviour and ``GET /counters`` tells every execution by its ``X-Booking-Id``.
+``/.../size/N`` answers with N bytes; other paths echo what they were asked.
+"""
+
+import argparse
+import json
+import socket
+from typing import Final
+
+from circuits import Component
+
+from ..framing.heads import encode_response
+from ..framing.messages import FramingError, Header, RequestHead, ResponseHead
+from ..framing.requests import RequestLimits, RequestReader
+from ..ini import parse_address
+from ..network.listener import Listener
+from ..network.loop import Loop
+from ..network.stream import Stream
+from .backend_state import BackendMode, BackendState
+
+LIMITS: Final = RequestLimits(head_bytes=65_536, body_bytes=1 << 40)
+BLOCK: Final = bytes(65_536)
+NOT_RUN: Final = (b"galenaferry-ran", b"not-run")
+
+
+class _Connection:
+    """One connection; a request is executed when its body is complete."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, state: BackendState) -> None:
+        self._loop = loop
+        self._state = state
+        self._head: RequestHead | None = None
+        self._size = 0
+        self._kept = b""
+        self._left_to_send = 0
+        self._reader = RequestReader(self, LIMITS)
+        self._stream = Stream(loop, sock, self, is_connecting=False)
+
+    def on_connected(self) -> None:
+        return
+
+    def on_data(self, data: bytes) -> None:
+        try:
+            self._reader.feed(data)
+        except FramingError:
+            self._stream.close()
+
+    def on_drained(self) -> None:
+        while self._left_to_send and not self._stream.is_congested:
+            part = BLOCK[: min(len(BLOCK), self._left_to_send)]
+            self._left_to_send -= len(part)
+            self._stream.write(part)
+
+    def on_ended(self, reason: str) -> None:
+        self._stream.close()
+
+    def on_head(self, head: RequestHead) -> None:
+        self._head = head
+        self._size = 0
+        self._kept = b""
+
+    def on_body(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size <= len(BLOCK):
+            self._kept += data
+
+    def on_complete(self) -> None:
+        head = self._head
+        assert head is not None
+        path = head.target.partition(b"?")[0].decode()
+        match f"{head.method.decode()} {path}":
+            case "GET /health":
+                self._answer(200, b"ok\n")
+            case "GET /counters":
+                self._answer(200, json.dumps(self._state.summary()).encode())
+            case "PUT /mode":
+                self._state.set_mode(json.loads(self._kept))
+                self._answer(200, b"{}\n")
+            case _:
+                self._work(head, path)
+
+    def _work(self, head: RequestHead, path: str) -> None:
+        state, mode = self._state, self._state.mode
+        if state.must_shed():
+            state.counters.shed += 1
+            self._answer(503, b"busy\n", (NOT_RUN,))
+            return
+        state.execute((head.header(b"x-booking-id") or b"").decode())
+        if state.happens(mode.silent_part):
+            return
+        state.counters.busy += 1
+        interval = mode.work_ms * mode.slow_factor
+        self._loop.after(interval, lambda: self._finish(head, path))
+
+    def _finish(self, head: RequestHead, path: str) -> None:
+        state, mode = self._state, self._state.mode
+        state.counters.busy -= 1
+        if state.happens(mode.reset_part):
+            self._stream.close()
+            return
+        if state.happens(mode.error_part):
+            state.counters.errors += 1
+            self._answer(500, b"fault\n")
+            return
+        size = path.rpartition("/size/")[2]
+        if size.isdigit():
+            self._answer_size(int(size))
+            return
+        body = b"%b %b %d\n" % (head.method, head.target, self._size)
+        if state.happens(mode.truncate_part):
+            self._answer(200, body, length=len(body) + 10)
+            self._stream.finish()
+            return
+        self._answer(200, body)
+
+    def _answer_size(self, size: int) -> None:
+        self._answer(200, b"", length=size)
+        self._left_to_send = size
+        self.on_drained()
+
+    def _answer(
+        self,
+        status: int,
+        body: bytes,
+        extra: tuple[Header, ...] = (),
+        length: int | None = None,
+    ) -> None:
+        size = len(body) if length is None else length
+        extra += ((b"content-length", b"%d" % size),)
+        head = ResponseHead(status, b"", (), size)
+        is_head = self._head is not None and self._head.method == b"HEAD"
+        data = encode_response(head, extra, is_chunked=False, is_last=False)
+        self._stream.write(data if is_head else data + body)
+
+
+class BackendStandIn(Component):
+    """Backend server on one address.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+    mode : BackendMode
+    seed : int
+    loop : Loop, optional
+        Shared with other stand-ins of the process.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        mode: BackendMode,
+        seed: int = 1,
+        loop: Loop | None = None,
+    ) -> None:
+        super().__init__()
+        if loop is None:
+            loop = Loop()
+            loop.register(self)
+        self.state = BackendState(mode, seed)
+        self.listener = Listener(
+            loop, address, lambda sock: _keep(_Connection(loop, sock, self.state))
+        )
+
+
+def _keep(connection: _Connection) -> None:
+    """Leave a connection to the loop, which holds it while it is open."""
+
+
+def main() -> None:
+    """Serve until the process is ended; several addresses share the process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", type=parse_address, action="append", required=True)
+    parser.add_argument("--work-ms", type=float, default=5.0)
+    parser.add_argument("--slots", type=int, default=6)
+    arguments = parser.parse_args()
+    root = Component()
+    loop = Loop()
+    loop.register(root)
+    for number, address in enumerate(arguments.address):
+        mode = BackendMode(work_ms=arguments.work_ms, slots=arguments.slots)
+        BackendStandIn(address, mode, seed=number, loop=loop).register(root)
+    root.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/galenaferry/stand_ins/platform_state.py
@@ -0,0 +1,142 @@
+"""State of the platform's stand-in: table, objects, VM list and faults."""
+
+from typing import Any, NamedTuple
+
+from ..network.json_server import JsonRequest, JsonResponse
+
+
+class VmRow(NamedTuple):
+    """A row of the VM list."""
+
+    address: str
+    role: str
+    service: str
+    zone: str
+    region: str
+    state: str
+
+
+class PlatformState:
+    """The platform's data, kept in memory.
+
+    Faults are set by ``POST /faults``: ``down`` answers 503 to everything,
+    ``lose_answers`` takes that many writes and answers 503 to them, and
+    ``lag_rows`` freezes the VM list as it is.
+    """
+
+    def __init__(self) -> None:
+        self.rows_by_key: dict[str, tuple[str, int]] = {}
+        self.object_by_name: dict[str, str] = {}
+        self.vm_by_address: dict[str, VmRow] = {}
+        self.revision = 0
+        self.list_revision = 1
+        self.is_down = False
+        self.answers_to_lose = 0
+        self.frozen_list: tuple[int, list[VmRow]] | None = None
+        self.reads = 0
+        self.writes = 0
+
+    def respond(self, request: JsonRequest) -> JsonResponse:
+        """Answer one request."""
+        route = f"{request.method} {request.path}"
+        if route == "POST /faults":
+            return self._set_faults(request.body or {})
+        if route == "GET /counters":
+            return JsonResponse(200, {"reads": self.reads, "writes": self.writes})
+        if self.is_down:
+            return JsonResponse(503, {"error": "down"})
+        match route:
+            case "GET /table/rows":
+                return self._read(request.query.get("key", ""))
+            case "GET /table/scan":
+                return self._scan(request.query)
+            case "POST /table/transactions":
+                return self._commit(request.body or {})
+            case "GET /objects":
+                return self._get_object(request.query.get("name", ""))
+            case "PUT /objects":
+                self.object_by_name[request.query["name"]] = request.raw.decode()
+                return JsonResponse(200, {})
+            case "GET /vms":
+                return self._list(int(request.query.get("since", "0")))
+            case "PUT /vms":
+                return self._put_vm(request.body)
+            case "DELETE /vms":
+                return self._delete_vm(request.query["address"])
+        return JsonResponse(404, {"error": f"unknown path {request.path}"})
+
+    def put_vm(self, row: VmRow) -> None:
+        """Add or replace a row of the VM list."""
+        self.vm_by_address[row.address] = row
+        self.list_revision += 1
+
+    def _set_faults(self, faults: dict[str, Any]) -> JsonResponse:
+        self.is_down = bool(faults.get("down", self.is_down))
+        self.answers_to_lose = int(faults.get("lose_answers", self.answers_to_lose))
+        if "lag_rows" in faults:
+            rows = list(self.vm_by_address.values())
+            self.frozen_list = (
+                (self.list_revision, rows) if faults["lag_rows"] else None
+            )
+        return JsonResponse(200, {})
+
+    def _read(self, key: str) -> JsonResponse:
+        self.reads += 1
+        row = self.rows_by_key.get(key)
+        if row is None:
+            return JsonResponse(404, {"error": "no such row"})
+        return JsonResponse(200, {"key": key, "value": row[0], "revision": row[1]})
+
+    def _scan(self, query: dict[str, str]) -> JsonResponse:
+        self.reads += 1
+        prefix, after = query.get("prefix", ""), query.get("after", "")
+        keys = sorted(
+            key for key in self.rows_by_key if key.startswith(prefix) and key > after
+        )
+        rows = [
+            {
+                "key": key,
+                "value": self.rows_by_key[key][0],
+                "revision": self.rows_by_key[key][1],
+            }
+            for key in keys[: int(query.get("limit", "100"))]
+        ]
+        return JsonResponse(200, {"rows": rows})
+
+    def _commit(self, body: dict[str, Any]) -> JsonResponse:
+        self.writes += 1
+        for key, revision in body.get("conditions", ()):
+            if self.rows_by_key.get(key, ("", 0))[1] != revision:
+                return JsonResponse(409, {"conflict": key})
+        self.revision += 1
+        for key, value in body.get("puts", ()):
+            self.rows_by_key[key] = (value, self.revision)
+        if self.answers_to_lose > 0:
+            self.answers_to_lose -= 1
+            return JsonResponse(503, {"error": "the answer was lost"})
+        return JsonResponse(200, {"revision": self.revision})
+
+    def _get_object(self, name: str) -> JsonResponse:
+        self.reads += 1
+        text = self.object_by_name.get(name)
+        if text is None:
+            return JsonResponse(404, {"error": "no such object"})
+        return JsonResponse(200, text)
+
+    def _list(self, since: int) -> JsonResponse:
+        self.reads += 1
+        revision, rows = self.frozen_list or (
+            self.list_revision,
+            list(self.vm_by_address.values()),
+        )
+        shown = [] if since == revision else [row._asdict() for row in rows]
+        return JsonResponse(200, {"revision": revision, "rows": shown})
+
+    def _put_vm(self, body: dict[str, str]) -> JsonResponse:
+        self.put_vm(VmRow(**body))
+        return JsonResponse(200, {})
+
+    def _delete_vm(self, address: str) -> JsonResponse:
+        self.vm_by_address.pop(address, None)
+        self.list_revision += 1
+        return JsonResponse(200, {})
