Prove the promises to callers on a fake clock

Cause: the request path had no test that causes the failures. Change: scenarios for refused, shed, failed, reset, silent and garbled attempts, and tests of pipelining, truncation, late answers, waiting lines, leaving callers and the retry budget, on one loop with stand-ins. Detection: sums forget their ticks on their own, the threshold has no penalty for parallel tests, an instance must stand out from its siblings over the same window.

--- a/src/galenaferry/health/detector.py
+++ b/src/galenaferry/health/detector.py
@@ -23,7 +23,10 @@
 SMALLEST_RATIO: Final = 2.5
 LOWEST_BASELINE: Final = 0.0005
 HIGHEST_BASELINE: Final = 0.3
-NEEDED_FAILING_TICKS: Final = 4
+NEEDED_POSITIVE_TICKS: Final = 4
+BURST_TICKS: Final = 3
+CONTRAST: Final = 2.5
+SHORT_EXCESS: Final = 3.0
 NEEDED_REPORTERS: Final = 3
 LARGEST_REPORTER_SHARE: Final = 0.6
 
@@ -31,12 +34,10 @@
 def threshold(days_between_false_alarms: float) -> float:
     """Return the threshold for a mean time between false alarms of an instance.
 
-    The alternatives and streams that are tested side by side each get an equal
-    part of the false alarms.
+    The mean number of requests between false alarms of a cumulative sum is at
+    least the exponential of its threshold.
     """
-    requests = days_between_false_alarms * NOMINAL_REQUESTS_PER_DAY
-    parallel_tests = len(FAILURE_RATES) + len(SLOW_RATES)
-    return math.log(requests) + math.log(parallel_tests)
+    return math.log(days_between_false_alarms * NOMINAL_REQUESTS_PER_DAY)
 
 
 class Rate(NamedTuple):
@@ -87,24 +88,37 @@
             self._at = now
 
 
-def baseline(rates: list[Rate], prior: Rate) -> float:
-    """Return the rate that the siblings show, on the high side of chance.
+def baseline(long: Rate, short: Rate, prior: Rate) -> float:
+    """Return the rate that the siblings show.
 
     Parameters
     ----------
-    rates : list of Rate
-        Counts of all siblings together, over windows of different length; a
-        short one makes trouble of the whole service count at once.
+    long, short : Rate
+        Counts of all siblings together over windows of different length. The
+        short one counts where it exceeds the long one by more than chance
+        explains, so that trouble of the whole service counts at once.
     prior : Rate
         What is assumed where siblings had little work.
     """
-    highest = LOWEST_BASELINE
-    for rate in rates:
-        requests = rate.requests + prior.requests
-        positives = rate.positives + prior.positives
-        mean = positives / requests
-        highest = max(highest, mean + math.sqrt(mean / requests))
-    return min(highest, HIGHEST_BASELINE)
+    requests = long.requests + prior.requests
+    mean = (long.positives + prior.positives) / requests
+    mean += math.sqrt(mean / requests)
+    expected = mean * short.requests
+    if short.positives > expected + SHORT_EXCESS * math.sqrt(expected + 1.0):
+        mean = short.positives / short.requests
+    return min(max(mean, LOWEST_BASELINE), HIGHEST_BASELINE)
+
+
+def stands_out(own: Rate, siblings: Rate) -> bool:
+    """Whether an instance is worse than its siblings over the same window.
+
+    A sum can pass its threshold while the whole service is getting worse and
+    the baseline lags behind; then the siblings are as bad at this moment.
+    """
+    if not own.requests:
+        return False
+    expected = (siblings.positives + 0.1) / (siblings.requests + 1.0)
+    return own.positives / own.requests >= CONTRAST * expected
 
 
 class StreamTest:
@@ -116,12 +130,12 @@
         Rates of positive outcomes that a sick instance may show.
     """
 
-    __slots__ = ("_alternatives", "_by_reporter", "_failing_ticks", "_sums")
+    __slots__ = ("_alternatives", "_by_reporter", "_sums", "_ticks")
 
     def __init__(self, alternatives: tuple[float, ...]) -> None:
         self._alternatives = alternatives
         self._sums = [0.0] * len(alternatives)
-        self._failing_ticks = 0
+        self._ticks = [0] * len(alternatives)
         self._by_reporter: dict[str, int] = {}
 
     @property
@@ -129,11 +143,6 @@
         """The largest sum."""
         return max(self._sums)
 
-    @property
-    def is_at_rest(self) -> bool:
-        """Whether nothing speaks against the instance."""
-        return self._failing_ticks == 0
-
     def add(
         self, requests: int, positives_by_reporter: dict[str, int], base: float
     ) -> None:
@@ -146,13 +155,20 @@
         for number, rate in enumerate(self._alternatives):
             if rate < base * SMALLEST_RATIO:
                 self._sums[number] = 0.0
+                self._ticks[number] = 0
                 continue
-            counted = min(positives, math.ceil(rate * requests))
+            # A short burst fills the first ticks of a sum and ends before the
+            # later ones, where more may be counted.
+            reserve = 1 if self._ticks[number] >= BURST_TICKS else 0
+            counted = min(positives, math.ceil(rate * requests) + reserve)
             gain = counted * math.log(rate / base)
             loss = (requests - positives) * math.log((1.0 - rate) / (1.0 - base))
             self._sums[number] = max(0.0, self._sums[number] + gain + loss)
+            if self._sums[number] <= 0.0:
+                self._ticks[number] = 0
+            elif positives:
+                self._ticks[number] += 1
         if positives:
-            self._failing_ticks += 1
             for reporter, count in positives_by_reporter.items():
                 known = self._by_reporter.get(reporter, 0)
                 self._by_reporter[reporter] = known + count
@@ -168,7 +184,10 @@
         reporter_count : int
             Number of VMs that sent the instance work lately.
         """
-        if self.score < limit or self._failing_ticks < NEEDED_FAILING_TICKS:
+        if not any(
+            total >= limit and ticks >= NEEDED_POSITIVE_TICKS
+            for total, ticks in zip(self._sums, self._ticks)
+        ):
             return False
         if reporter_count < NEEDED_REPORTERS:
             return True
@@ -179,5 +198,5 @@
     def reset(self) -> None:
         """Forget everything."""
         self._sums = [0.0] * len(self._alternatives)
-        self._failing_ticks = 0
+        self._ticks = [0] * len(self._alternatives)
         self._by_reporter.clear()
--- a/src/galenaferry/health/home.py
+++ b/src/galenaferry/health/home.py
@@ -11,6 +11,7 @@
     StreamTest,
     Window,
     baseline,
+    stands_out,
     threshold,
 )
 from .messages import Counts, HealthState, Report, Verdict
@@ -222,17 +223,20 @@
                 instance.slow_by_reporter,
                 pool.slow_baseline(instance),
             )
-        self._eject_if_alarmed(instance, limit, now)
+        self._eject_if_alarmed(instance, pool, limit, now)
 
-    def _eject_if_alarmed(self, instance: _Instance, limit: float, now: Millis) -> None:
+    def _eject_if_alarmed(
+        self, instance: _Instance, pool: "_Pool", limit: float, now: Millis
+    ) -> None:
         heard = instance.heard_by_reporter
         recent = sum(1 for at in heard.values() if now - at < REPORTER_SPAN_MS)
-        for test in (instance.failure_test, instance.slow_test):
-            if test.is_alarmed(limit, recent):
-                instance.course.eject(now)
-                instance.failure_test.reset()
-                instance.slow_test.reset()
-                return
+        tests = (instance.failure_test, instance.slow_test)
+        if not any(test.is_alarmed(limit, recent) for test in tests):
+            return
+        if pool.stands_out(instance, now):
+            instance.course.eject(now)
+        for test in tests:
+            test.reset()
 
     def _suspect_reporters(self, now: Millis) -> set[str]:
         """Return the VMs whose own trouble makes several instances look sick."""
@@ -334,17 +338,31 @@
             if shown is not None:
                 long = long.minus(shown.failures_long)
                 short = short.minus(shown.failures_short)
-        return baseline([long, short], FAILURE_PRIOR)
+        return baseline(long, short, FAILURE_PRIOR)
+
+    def stands_out(self, instance: _Instance, now: Millis) -> bool:
+        """Whether an instance is worse than its siblings at this moment."""
+        key = instance.facts.key
+        own = self._shown_by_key.get(key) or _show(instance, now)
+        others = [rates for k, rates in self._shown_by_key.items() if k != key]
+        failures = _sum([rates.failures_short for rates in others])
+        if stands_out(own.failures_short, failures):
+            return True
+        slow = _sum([rates.slow_short for rates in self._near(instance)])
+        return stands_out(own.slow_short, slow)
 
     def slow_baseline(self, instance: _Instance) -> float:
         """Return the rate of slow answers of siblings, of the same zone if any."""
+        shown = self._near(instance)
+        long = _sum([rates.slow_long for rates in shown])
+        short = _sum([rates.slow_short for rates in shown])
+        return baseline(long, short, SLOW_PRIOR)
+
+    def _near(self, instance: _Instance) -> list[_Shown]:
         key = instance.facts.key
         near = [k for k in self._keys_by_zone.get(instance.facts.zone, ()) if k != key]
         keys = near or [k for k in self._shown_by_key if k != key]
-        shown = [self._shown_by_key[k] for k in keys]
-        long = _sum([rates.slow_long for rates in shown])
-        short = _sum([rates.slow_short for rates in shown])
-        return baseline([long, short], SLOW_PRIOR)
+        return [self._shown_by_key[k] for k in keys]
 
 
 def _show(instance: _Instance, now: Millis) -> _Shown:
--- a/src/galenaferry/network/loop.py
+++ b/src/galenaferry/network/loop.py
@@ -88,18 +88,26 @@
     def _generate_events(self, event: Any) -> None:
         """Poll until a component has an event queued or the tick is long."""
         for _ in range(POLLS_PER_TICK):
-            self._poll_once(event)
+            self.poll(event.time_left * 1000.0)
             if len(self.root) or self.root._tasks or not self.root.running:
                 return
 
-    def _poll_once(self, event: Any) -> None:
+    def poll(self, longest: Millis) -> int:
+        """Run due timers, wait for sockets once and return how many were ready.
+
+        Parameters
+        ----------
+        longest : float
+            Longest wait in milliseconds; a negative one sets no bound.
+        """
         wait = self._run_timers()
-        if 0 <= event.time_left * 1000.0 < wait:
-            wait = event.time_left * 1000.0
+        if 0 <= longest < wait:
+            wait = longest
         if len(self.root) or self._soon:
             wait = 0.0
         owner_by_fd = self._owner_by_fd
-        for fd, flags in self._poller.poll(wait / 1000.0):
+        ready = self._poller.poll(wait / 1000.0)
+        for fd, flags in ready:
             owner = owner_by_fd.get(fd)
             if owner is not None:
                 owner(flags)
@@ -107,6 +115,7 @@
                 self._process(fd, flags)
         if self._soon:
             self._run_soon()
+        return len(ready)
 
     def _run_soon(self) -> None:
         calls, self._soon = self._soon, []
--- /dev/null
+++ b/src/galenaferry/requests/tests/builders.py
@@ -0,0 +1,170 @@
+"""Builders of a VM's request path with stand-ins on one loop and a fake clock."""
+
+import socket
+from random import Random
+
+from circuits import Component
+
+from galenaferry.backends.directory import Directory
+from galenaferry.backends.messages import Instance
+from galenaferry.clock import FakeClock
+from galenaferry.configuration.document import configure
+from galenaferry.ini import Document
+from galenaferry.network.loop import Loop
+from galenaferry.requests.component import RequestsComponent
+from galenaferry.requests.context import RequestContext
+from galenaferry.routing.table import RouteTable
+from galenaferry.stand_ins.backend import BackendStandIn
+from galenaferry.stand_ins.backend_state import BackendMode
+
+LOOPBACK = "127.0.0.1"
+STEP_MS = 1.0
+LONGEST_RUN_MS = 120_000.0
+QUIET_POLLS = 3
+
+
+class EqualWeights:
+    """Health that admits every instance in full."""
+
+    def weights(self, service, instances, policy):
+        return {instance.address: 1.0 for instance in instances}
+
+
+class RecordingObserver:
+    """Observer that keeps the evidence."""
+
+    def __init__(self):
+        self.evidence = []
+
+    def observe(self, service, address, route, target, evidence, latency):
+        self.evidence.append((address, evidence))
+
+
+class Caller:
+    """A caller's raw connection."""
+
+    def __init__(self, bench):
+        self._bench = bench
+        self._sock = socket.create_connection((LOOPBACK, bench.component.port))
+        self._sock.setblocking(False)
+        self.received = b""
+        self.is_closed = False
+
+    def send(self, data):
+        self._sock.sendall(data)
+        return self
+
+    def post(self, path, body=b"slot", headers=""):
+        head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
+        return self.send(head.encode() + body)
+
+    def get(self, path, headers=""):
+        return self.send(f"GET {path} HTTP/1.1\r\nHost: a\r\n{headers}\r\n".encode())
+
+    def close(self):
+        self._sock.close()
+
+    def read(self):
+        try:
+            while data := self._sock.recv(65536):
+                self.received += data
+            self.is_closed = True
+        except BlockingIOError:
+            return
+        except OSError:
+            self.is_closed = True
+
+    def answers(self, count=1):
+        """Run until so many whole answers have come, and return them."""
+        self._bench.run(
+            lambda: len(split_answers(self.received)) >= count or self.is_closed, self
+        )
+        return split_answers(self.received)
+
+
+def split_answers(data):
+    """Return (status, headers, body) of every whole answer with a length."""
+    answers = []
+    while b"\r\n\r\n" in data:
+        head, _, rest = data.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+        status = int(lines[0].split()[1])
+        length = int(headers.get("content-length", 0))
+        if len(rest) < length or status == 100:
+            if status != 100:
+                break
+            length = 0
+        answers.append((status, headers, rest[:length]))
+        data = rest[length:]
+    return answers
+
+
+class Bench:
+    """One VM's request path, backend stand-ins and callers."""
+
+    def __init__(self, text="", modes=(), zones=None, seed=1):
+        self.clock = FakeClock(1000.0)
+        self.root = Component()
+        self.loop = Loop(self.clock)
+        self.loop.register(self.root)
+        self.backends = [
+            BackendStandIn((LOOPBACK, 0), mode, seed=number, loop=self.loop)
+            for number, mode in enumerate(modes)
+        ]
+        zones = zones or ["north"] + ["south"] * len(modes)
+        self.instances = [
+            Instance(
+                f"{LOOPBACK}:{backend.listener.port}", "bookings", zones[number], False
+            )
+            for number, backend in enumerate(self.backends)
+        ]
+        document = Document("bench.ini", text)
+        configuration = configure(document, 1)
+        assert document.findings == []
+        self.observer = RecordingObserver()
+        self.directory = Directory(self.loop, "north", EqualWeights(), Random(seed))
+        self.directory.replace(self.instances)
+        self.context = RequestContext(
+            self.loop,
+            self.directory,
+            RouteTable(configuration, "north"),
+            self.observer,
+            Random(seed),
+        )
+        self.component = RequestsComponent(self.context, (LOOPBACK, 0))
+
+    def run(self, is_done, *callers):
+        """Move the fake clock until ``is_done`` holds."""
+        ends_at = self.clock.now() + LONGEST_RUN_MS
+        quiet = 0
+        while self.clock.now() < ends_at:
+            ready = self.loop.poll(0.0)
+            for caller in callers:
+                caller.read()
+            if is_done():
+                return
+            quiet = 0 if ready else quiet + 1
+            if quiet >= QUIET_POLLS:
+                self.clock.advance(STEP_MS)
+                quiet = 0
+        raise AssertionError("the run did not come to its end")
+
+    def run_for(self, interval, *callers):
+        """Move the fake clock by ``interval`` milliseconds."""
+        ends_at = self.clock.now() + interval
+        self.run(lambda: self.clock.now() >= ends_at, *callers)
+
+    def caller(self):
+        return Caller(self)
+
+    def executions(self):
+        return sum(backend.state.counters.executed for backend in self.backends)
+
+
+def healthy():
+    return BackendMode(work_ms=5.0)
+
+
+def faulty(**parts):
+    return BackendMode(work_ms=5.0, **parts)
--- /dev/null
+++ b/src/galenaferry/requests/tests/test_exchange.py
@@ -0,0 +1,158 @@
+"""Requests through one VM: framing, streaming, limits, waiting, leaving callers."""
+
+from galenaferry.attempts.messages import Evidence
+from galenaferry.requests.tests.builders import Bench, faulty, healthy
+
+
+def test_pipelined_requests_get_their_own_answers_in_order():
+    caller = Bench(modes=[healthy()]).caller()
+    caller.post("/bookings/one", b"abc").get("/bookings/two").post(
+        "/bookings/three", b""
+    )
+    bodies = [body for _, _, body in caller.answers(3)]
+    assert bodies == [
+        b"POST /bookings/one 3\n",
+        b"GET /bookings/two 0\n",
+        b"POST /bookings/three 0\n",
+    ]
+
+
+def test_a_body_in_chunks_reaches_the_instance_whole():
+    caller = Bench(modes=[healthy()]).caller()
+    caller.send(
+        b"POST /bookings/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n"
+    )
+    caller.send(b"2\r\nef\r\n0\r\n\r\n")
+    assert caller.answers()[0][2] == b"POST /bookings/x 6\n"
+
+
+def test_a_caller_that_expects_continue_is_asked_for_its_body():
+    bench = Bench(modes=[healthy()])
+    caller = bench.caller()
+    caller.send(
+        b"POST /bookings/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n"
+    )
+    bench.run(
+        lambda: caller.received.startswith(b"HTTP/1.1 100 Continue\r\n\r\n"), caller
+    )
+    caller.send(b"abc")
+    assert caller.answers(2)[1][2] == b"POST /bookings/x 3\n"
+
+
+def test_head_and_get_share_a_connection():
+    caller = Bench(modes=[healthy()]).caller()
+    caller.send(b"HEAD /bookings/x HTTP/1.1\r\nHost: a\r\n\r\n").get("/bookings/y")
+    caller._bench.run(lambda: b"GET /bookings/y 0\n" in caller.received, caller)
+    assert caller.received.count(b"HTTP/1.1 200 OK") == 2
+
+
+def test_a_broken_body_ends_the_exchange_and_the_connection():
+    bench = Bench(modes=[healthy()])
+    caller = bench.caller()
+    caller.send(
+        b"POST /bookings/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+    )
+    status, headers, _ = caller.answers()[0]
+    assert (status, headers["connection"]) == (400, "close")
+    assert headers["galenaferry-ran"] in ("not-run", "unknown")
+    bench.run_for(100.0, caller)
+    assert bench.executions() == 0
+
+
+def test_a_truncated_answer_is_cut_for_the_caller_too():
+    bench = Bench(modes=[faulty(truncate_part=1.0)])
+    caller = bench.caller().get("/bookings/x")
+    bench.run(lambda: caller.is_closed, caller)
+    assert b"content-length: 28" in caller.received
+    assert caller.received.endswith(b"GET /bookings/x 0\n")
+
+
+def test_a_path_without_a_service_was_not_run():
+    caller = Bench(modes=[healthy()]).caller().get("/elsewhere/x")
+    status, headers, _ = caller.answers()[0]
+    assert (status, headers["galenaferry-ran"]) == (404, "not-run")
+    assert caller.get("/bookings/x").answers(2)[1][0] == 200
+
+
+def test_large_answers_pass_in_bounded_memory():
+    bench = Bench(modes=[healthy()])
+    caller = bench.caller().get("/bookings/size/20000000")
+    bench.run_for(50.0)
+    held = [connection._stream._out_bytes for connection in bench.component._callers]
+    assert 0 < max(held) < 2_000_000
+    bench.run(lambda: len(caller.received) > 20_000_000, caller)
+
+
+def test_a_silent_connection_costs_no_booking():
+    bench = Bench(modes=[healthy()])
+    caller = bench.caller().post("/bookings/a")
+    caller.answers()
+    bench.backends[0].silence_connections()
+    bench.run_for(1500.0, caller)
+    assert caller.post("/bookings/b").answers(2)[1][0] == 200
+
+
+def test_a_late_answer_reaches_nobody_else():
+    bench = Bench(
+        "[defaults]\nattempt_timeout_ms = 50\nmax_attempts = 1\n",
+        modes=[faulty(slow_factor=100.0)],
+    )
+    first = bench.caller().get("/bookings/first")
+    assert first.answers()[0][0] == 504
+    bench.backends[0].state.mode.slow_factor = 1.0
+    assert first.get("/bookings/second").answers(2)[1][2] == b"GET /bookings/second 0\n"
+    bench.run_for(2000.0, first)
+    assert len(first.answers(2)) == 2
+
+
+def test_a_request_waits_for_a_slot_and_the_line_is_bounded():
+    text = "[defaults]\nqueue_limit = 2\nslots_per_instance = 2\nimportance = 3\n"
+    bench = Bench(text, modes=[faulty(slots=2, slow_factor=100.0)])
+    callers = [bench.caller().post("/bookings/x") for _ in range(7)]
+    bench.run(lambda: all(caller.received for caller in callers), *callers)
+    answers = [caller.answers()[0] for caller in callers]
+    statuses = sorted(status for status, _, _ in answers)
+    assert statuses == [200] * 4 + [503] * 3
+    assert all(
+        h["galenaferry-ran"] == "not-run" and "retry-after" in h
+        for s, h, _ in answers
+        if s == 503
+    )
+    assert bench.executions() == 4
+
+
+def test_a_caller_that_leaves_frees_its_connection():
+    bench = Bench(modes=[faulty(silent_part=1.0)])
+    caller = bench.caller().get("/bookings/x")
+    bench.run(lambda: bench.executions() == 1, caller)
+    caller._sock.setsockopt(1, 13, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+    caller.close()
+    bench.run(lambda: not bench.component._callers)
+    pool = next(iter(bench.directory.pool_by_address.values()))
+    assert (pool.in_flight, pool.open_count) == (0, 0)
+
+
+def test_evidence_tells_link_and_instance_apart():
+    bench = Bench(modes=[healthy(), healthy()])
+    bench.backends[0].listener.close()
+    bench.caller().get("/bookings/x").answers()
+    assert [kind for _, kind in bench.observer.evidence] == [
+        Evidence.LINK,
+        Evidence.SUCCESS,
+    ]
+
+
+def test_the_deadline_of_the_caller_holds():
+    bench = Bench(modes=[faulty(silent_part=1.0)])
+    started = bench.clock.now()
+    caller = bench.caller().get("/bookings/x", "Galenaferry-Time-Left-Ms: 200\r\n")
+    assert caller.answers()[0][0] == 504
+    assert bench.clock.now() - started < 300.0
+
+
+def test_total_failure_offers_at_most_a_tenth_more():
+    bench = Bench(modes=[faulty(error_part=1.0), faulty(error_part=1.0)])
+    caller = bench.caller()
+    for number in range(200):
+        caller.get(f"/bookings/{number}").answers(number + 1)
+    assert bench.executions() <= 200 * 1.1 + 2
--- a/src/galenaferry/stand_ins/backend.py
+++ b/src/galenaferry/stand_ins/backend.py
@@ -9,6 +9,7 @@
 import json
 import socket
 from typing import Final
+from weakref import WeakSet
 
 from circuits import Component
 
@@ -39,6 +40,10 @@
         self._reader = RequestReader(self, LIMITS)
         self._stream = Stream(loop, sock, self, is_connecting=False)
 
+    def silence(self) -> None:
+        """Receive nothing more and stay open."""
+        self._stream.pause()
+
     def on_connected(self) -> None:
         return
 
@@ -101,6 +106,9 @@
         if state.happens(mode.reset_part):
             self._stream.close()
             return
+        if state.happens(mode.garbage_part):
+            self._stream.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" * 2)
+            return
         if state.happens(mode.error_part):
             state.counters.errors += 1
             self._answer(500, b"fault\n")
@@ -159,14 +167,18 @@
         if loop is None:
             loop = Loop()
             loop.register(self)
+        self._loop = loop
+        self._connections: WeakSet[_Connection] = WeakSet()
         self.state = BackendState(mode, seed)
-        self.listener = Listener(
-            loop, address, lambda sock: _keep(_Connection(loop, sock, self.state))
-        )
+        self.listener = Listener(loop, address, self._accept)
 
+    def silence_connections(self) -> None:
+        """Make the open connections silent for good; new ones work."""
+        for connection in self._connections:
+            connection.silence()
 
-def _keep(connection: _Connection) -> None:
-    """Leave a connection to the loop, which holds it while it is open."""
+    def _accept(self, sock: socket.socket) -> None:
+        self._connections.add(_Connection(self._loop, sock, self.state))
 
 
 def main() -> None:
--- a/src/galenaferry/stand_ins/backend_state.py
+++ b/src/galenaferry/stand_ins/backend_state.py
@@ -17,6 +17,7 @@
     silent_part: float = 0.0
     reset_part: float = 0.0
     truncate_part: float = 0.0
+    garbage_part: float = 0.0
     is_draining: bool = False
     work_ms: float = 5.0
     slots: int = 6
