--- /dev/null
+++ b/src/galenaferry/peers/tests/test_codec.py
@@ -0,0 +1,64 @@
+"""Datagrams: round trips, strangers and noise."""
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from galenaferry.configuration.messages import Change, Edit
+from galenaferry.configuration.spreading import Pull, Push
+from galenaferry.health.messages import Counts, HealthState, Report, Verdict, Verdicts
+from galenaferry.membership.messages import Freshness, Heartbeat, Member
+from galenaferry.peers.codec import (
+    CODE_BYTES,
+    Datagram,
+    PeerKeys,
+    _code,
+    decode,
+    encode,
+)
+
+KEYS = PeerKeys(b"a key of the fleet")
+ME = Member("10.0.0.1:7000", 1764806400000, 7, "north", "andes", False, 3)
+CHANGE = Change(
+    4, "id", "ana", "why", 12.0, (Edit("defaults", "floor_percent", None),), "d"
+)
+MESSAGES = [
+    Heartbeat(4, "digest", Freshness(12, True), (ME, ME._replace(is_leaving=True))),
+    Push((CHANGE, CHANGE)),
+    Pull(17),
+    Report((Counts(2**63, 5, 1, 2),)),
+    Verdicts((Verdict(9, HealthState.PROBATION, 20, 0.5),)),
+]
+
+
+def test_every_message_survives():
+    for message in MESSAGES:
+        assert decode(encode(Datagram(ME, message), KEYS), KEYS).ok() == Datagram(
+            ME, message
+        )
+
+
+def test_keys_rotate_without_a_gap():
+    data = encode(Datagram(ME, MESSAGES[2]), KEYS)
+    assert decode(data, PeerKeys(b"a newer key", KEYS.current)).is_ok()
+    assert (
+        decode(data, PeerKeys(b"a newer key")).err()
+        == "the authentication code is wrong"
+    )
+
+
+@seed(5)
+@settings(max_examples=200, deadline=None, database=None)
+@given(st.integers(0, 4), st.integers(0, 10_000), st.integers(1, 255))
+def test_a_changed_byte_is_refused(number, place, difference):
+    data = bytearray(encode(Datagram(ME, MESSAGES[number]), KEYS))
+    data[place % len(data)] ^= difference
+    assert decode(bytes(data), KEYS).is_err()
+
+
+@seed(6)
+@settings(max_examples=300, deadline=None, database=None)
+@given(st.binary(max_size=400))
+def test_signed_noise_is_refused_or_read(payload):
+    result = decode(_code(payload, KEYS.current) + payload, KEYS)
+    assert result.is_ok() or result.err()
+    assert decode(payload[:CODE_BYTES], KEYS).is_err()
