Apply a change of the configuration by its touched sections only

Change: typed exceptions are replaced one by one, checked against an index of scopes, and routes are updated by the names that a change touches.

--- a/src/galenaferry/configuration/acceptance.py
+++ b/src/galenaferry/configuration/acceptance.py
@@ -27,7 +27,7 @@
     Row,
     Transaction,
 )
-from .document import check_sections, edited
+from .document import check_edits, edited
 from .messages import Change, Head, Proposal, encode_change, make_change
 from .state import ConfigurationStore
 
@@ -163,7 +163,8 @@
         if clashes:
             self._done(Clashing(tuple(clashes)))
             return
-        findings = check_sections(edited(store.sections, proposal.edits))
+        sections = edited(store.sections, proposal.edits)
+        findings = check_edits(store.configuration, sections, proposal.edits)
         if findings:
             self._done(Refused(tuple(findings)))
             return
--- a/src/galenaferry/configuration/component.py
+++ b/src/galenaferry/configuration/component.py
@@ -23,7 +23,7 @@
     change_key,
     decode_head,
 )
-from .document import render
+from .document import render, touched_names
 from .freshness import ConfigurationLease
 from .messages import Change, Head, Proposal, decode_change
 from .spreading import PeersOf, Pull, Push, Send, Spreader
@@ -40,7 +40,10 @@
 
 
 class configuration_changed(Event):
-    """A newer configuration is in force."""
+    """A newer configuration is in force (circuits names events in lower case).
+
+    Its argument names the exceptions that may have changed.
+    """
 
 
 class ConfigurationComponent(BaseComponent):
@@ -124,7 +127,7 @@
         if received.is_fork:
             self._alarm(f"{sender} offers another history of the configuration")
         if received.adopted:
-            self._on_adopted()
+            self._on_adopted(touched_names(received.adopted))
         self._send_all(received.sends)
 
     def on_pull(self, sender: str, pull: Pull) -> None:
@@ -187,7 +190,7 @@
             data = json.loads(result.ok_value)
             head = Head(int(data["version"]), str(data["digest"]))
             if self.store.load(head, data["sections"]):
-                self._on_adopted()
+                self._on_adopted(frozenset(self.store.configuration.exceptions_by_name))
         self._scan()
 
     def _scan(self) -> None:
@@ -202,7 +205,7 @@
         rows = result.ok_value
         adopted = self._adopt_rows(rows)
         if adopted:
-            self._on_adopted()
+            self._on_adopted(touched_names(adopted))
             self._send_all(self._spreader.announce(adopted))
         if len(rows) == CHANGES_PER_SCAN and adopted:
             self._scan()
@@ -234,11 +237,11 @@
         if isinstance(decision, Accepted) and decision.version % SNAPSHOT_EVERY == 0:
             self._write_snapshot()
 
-    def _on_adopted(self) -> None:
+    def _on_adopted(self, names: frozenset[str]) -> None:
         self.in_force_since = self._loop.clock.now()
         head = self.store.head
         log.info("configuration in force", version=head.version)
-        self.fire(configuration_changed())
+        self.fire(configuration_changed(names))
 
     def _write_snapshot(self) -> None:
         head = self.store.head
--- a/src/galenaferry/configuration/document.py
+++ b/src/galenaferry/configuration/document.py
@@ -1,12 +1,13 @@
 """The configuration's INI text, its checks and its typed form."""
 
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
 
 from ..findings import Finding
 from ..ini import Document
-from .messages import Edit
+from .messages import Change, Edit
 from .policy import DEFAULT_POLICY, PARSER_BY_KEY, Policy, with_values
 
 Sections = dict[str, dict[str, str]]
@@ -51,23 +52,52 @@
     values: tuple[tuple[str, object], ...]
 
 
-class Configuration(NamedTuple):
-    """The typed form of one version."""
+class Configuration:
+    """The typed form of the configuration in force.
 
-    version: int
-    defaults: Policy
-    exceptions_by_name: dict[str, PolicyException]
+    Exceptions are replaced one by one, since there may be hundreds of thousands
+    of them and a change touches a few.
+    """
 
+    def __init__(self) -> None:
+        self.defaults: Policy = DEFAULT_POLICY
+        self.exceptions_by_name: dict[str, PolicyException] = {}
+        self._names_by_scope: dict[Scope, frozenset[str]] = {}
+
+    def put(self, exception: PolicyException) -> None:
+        """Add an exception or replace the one of the same name."""
+        self.remove(exception.name)
+        self.exceptions_by_name[exception.name] = exception
+        names = self._names_by_scope.get(exception.scope, frozenset())
+        self._names_by_scope[exception.scope] = names | {exception.name}
+
+    def remove(self, name: str) -> None:
+        """Remove an exception if there is one of that name."""
+        exception = self.exceptions_by_name.pop(name, None)
+        if exception is None:
+            return
+        names = self._names_by_scope[exception.scope] - {name}
+        if names:
+            self._names_by_scope[exception.scope] = names
+        else:
+            del self._names_by_scope[exception.scope]
 
-EMPTY_CONFIGURATION: Final = Configuration(0, DEFAULT_POLICY, {})
+    def rival(self, exception: PolicyException, key: str) -> str | None:
+        """Return another exception that gives ``key`` for the same scope."""
+        for name in sorted(self._names_by_scope.get(exception.scope, ())):
+            if name != exception.name:
+                other = self.exceptions_by_name[name]
+                if any(key == given for given, _ in other.values):
+                    return name
+        return None
 
 
 def sections_of(file: str, text: str) -> Result[Sections, list[Finding]]:
     """Return the sections of INI text that passes every check."""
     document = Document(file, text)
-    configure(document, 0)
+    configure(document)
     if document.findings:
-        return Err(document.findings)
+        return Err(sorted(document.findings, key=lambda finding: finding.line))
     return Ok(
         {
             section: {key: document.text(section, key) or "" for key in _keys}
@@ -77,32 +107,50 @@
     )
 
 
-def configure(document: Document, version: int) -> Configuration:
+def configure(document: Document) -> Configuration:
     """Return the typed form of ``document``; problems become its findings."""
-    defaults = DEFAULT_POLICY
-    exceptions_by_name: dict[str, PolicyException] = {}
+    configuration = Configuration()
     for section in document.sections():
-        if section == DEFAULTS:
-            document.refuse_unknown(section, POLICY_KEYS)
-            defaults = with_values(defaults, _values(document, section))
-        elif section.startswith(EXCEPTION_PREFIX):
-            name = section.removeprefix(EXCEPTION_PREFIX).strip()
-            exceptions_by_name[name] = _read_exception(document, section, name)
-        else:
-            document.find(section, "", "unknown section")
-    _check_scopes(document, exceptions_by_name)
-    return Configuration(version, defaults, exceptions_by_name)
+        _read_section(document, section, configuration)
+    return configuration
 
 
-def configure_sections(sections: Sections, version: int) -> Configuration:
-    """Return the typed form of sections that have been checked before."""
-    return configure(Document(f"version {version}", render(sections)), version)
+def reconfigure(
+    configuration: Configuration, sections: Sections, touched: Iterable[str]
+) -> None:
+    """Bring ``configuration`` up to ``sections``, of which some were touched."""
+    names = frozenset(touched)
+    for name in names - sections.keys():
+        if name == DEFAULTS:
+            configuration.defaults = DEFAULT_POLICY
+        configuration.remove(_exception_name(name))
+    present = {name: sections[name] for name in names if name in sections}
+    document = Document("configuration", render(present))
+    for section in document.sections():
+        _read_section(document, section, configuration)
+
 
+def check_edits(
+    configuration: Configuration, sections: Sections, edits: tuple[Edit, ...]
+) -> list[Finding]:
+    """Return the findings of the sections that ``edits`` touch.
 
-def check_sections(sections: Sections) -> list[Finding]:
-    """Return the findings of ``sections``, with the lines of their rendering."""
-    document = Document("proposed", render(sections))
-    configure(document, 0)
+    Parameters
+    ----------
+    configuration : Configuration
+        The configuration in force, for clashes of scopes.
+    sections : Sections
+        The sections with the edits applied.
+    edits : tuple of Edit
+    """
+    touched = {edit.section for edit in edits}
+    present = {name: sections[name] for name in touched if name in sections}
+    document = Document("proposed", render(present))
+    trial = Configuration()
+    for section in document.sections():
+        _read_section(document, section, trial)
+    for name, exception in trial.exceptions_by_name.items():
+        _check_scope(document, EXCEPTION_PREFIX + name, exception, configuration)
     return document.findings
 
 
@@ -117,6 +165,13 @@
     return "\n".join(blocks)
 
 
+def touched_names(changes: Iterable[Change]) -> frozenset[str]:
+    """Return the names of the exceptions that ``changes`` touch."""
+    return frozenset(
+        _exception_name(edit.section) for change in changes for edit in change.edits
+    )
+
+
 def difference(old: Sections, new: Sections) -> tuple[Edit, ...]:
     """Return the edits that turn ``old`` into ``new``."""
     edits = []
@@ -184,16 +239,35 @@
     return None
 
 
-def _check_scopes(
-    document: Document, exceptions_by_name: dict[str, PolicyException]
+def _exception_name(section: str) -> str:
+    return section.removeprefix(EXCEPTION_PREFIX).strip()
+
+
+def _read_section(
+    document: Document, section: str, configuration: Configuration
+) -> None:
+    """Read one section into ``configuration``."""
+    if section == DEFAULTS:
+        document.refuse_unknown(section, POLICY_KEYS)
+        values = _values(document, section)
+        configuration.defaults = with_values(DEFAULT_POLICY, values)
+    elif section.startswith(EXCEPTION_PREFIX):
+        exception = _read_exception(document, section, _exception_name(section))
+        _check_scope(document, section, exception, configuration)
+        configuration.put(exception)
+    else:
+        document.find(section, "", "unknown section")
+
+
+def _check_scope(
+    document: Document,
+    section: str,
+    exception: PolicyException,
+    configuration: Configuration,
 ) -> None:
     """Refuse two exceptions that give the same key for the same scope."""
-    name_by_place: dict[tuple[Scope, str], str] = {}
-    for exception in exceptions_by_name.values():
-        section = EXCEPTION_PREFIX + exception.name
-        for key, _ in exception.values:
-            place = (exception.scope, key)
-            other = name_by_place.setdefault(place, exception.name)
-            if other != exception.name:
-                text = f"the exception {other} gives this key for the same scope"
-                document.find(section, key, text)
+    for key, _ in exception.values:
+        other = configuration.rival(exception, key)
+        if other is not None:
+            text = f"the exception {other} gives this key for the same scope"
+            document.find(section, key, text)
--- a/src/galenaferry/configuration/state.py
+++ b/src/galenaferry/configuration/state.py
@@ -5,11 +5,10 @@
 from typing import Final
 
 from .document import (
-    EMPTY_CONFIGURATION,
     Configuration,
     Sections,
-    configure_sections,
     edited,
+    reconfigure,
 )
 from .messages import EMPTY_HEAD, Change, Edit, Head, Proposal, chain_digest
 
@@ -31,7 +30,7 @@
     def __init__(self) -> None:
         self.head = EMPTY_HEAD
         self.sections: Sections = {}
-        self.configuration: Configuration = EMPTY_CONFIGURATION
+        self.configuration = Configuration()
         self.changes_by_version: OrderedDict[int, Change] = OrderedDict()
         self._undo_by_version: dict[int, tuple[Edit, ...]] = {}
 
@@ -47,7 +46,8 @@
         self._undo_by_version[change.version] = _undo(self.sections, change.edits)
         self.sections = edited(self.sections, change.edits)
         self.head = Head(change.version, change.digest)
-        self.configuration = configure_sections(self.sections, change.version)
+        touched = {edit.section for edit in change.edits}
+        reconfigure(self.configuration, self.sections, touched)
         self._remember(change)
         return Adoption.ADOPTED
 
@@ -57,7 +57,8 @@
             return False
         self.head = head
         self.sections = sections
-        self.configuration = configure_sections(sections, head.version)
+        self.configuration = Configuration()
+        reconfigure(self.configuration, sections, sections)
         self.changes_by_version.clear()
         self._undo_by_version.clear()
         return True
--- a/src/galenaferry/configuration/tests/test_document.py
+++ b/src/galenaferry/configuration/tests/test_document.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies as st
 
 from galenaferry.configuration.document import (
-    check_sections,
+    Configuration,
+    check_edits,
     difference,
     edited,
     render,
@@ -62,13 +63,13 @@
 def test_all_findings_come_together_with_their_places():
     findings = sections_of("fleet.ini", BAD).err()
     assert [str(finding) for finding in findings] == [
-        "fleet.ini:3: [defaults] colour: unknown key",
         "fleet.ini:2: [defaults] floor_percent: 170 is outside 0 to 100",
+        "fleet.ini:3: [defaults] colour: unknown key",
         "fleet.ini:5: [exception nameless] reason: an exception needs a written reason",
         "fleet.ini:6: [exception nameless] scope: the scope must be 'service NAME', 'route METHOD|* /PREFIX', 'zone NAME' or 'instance IP:PORT'",
         "fleet.ini:7: [exception nameless] floor_percent: 'x' is not a whole number",
-        "fleet.ini:19: [stray]: unknown section",
         "fleet.ini:17: [exception again] floor_percent: the exception twice gives this key for the same scope",
+        "fleet.ini:19: [stray]: unknown section",
     ]
 
 
@@ -112,6 +113,9 @@
     return change
 
 
+EXCEPTION = {"scope": "service s", "reason": "r", "max_attempts": "2"}
+
+
 def test_a_lower_version_is_never_taken():
     store = ConfigurationStore()
     first = accept(store, proposal("1", 0, ("defaults", "floor_percent", "50")))
@@ -148,4 +152,45 @@
 
 
 def test_unknown_keys_in_sections_are_found():
-    assert check_sections({"defaults": {"colour": "red"}})
+    edits = (Edit("defaults", "colour", "red"),)
+    assert check_edits(Configuration(), {"defaults": {"colour": "red"}}, edits)
+
+
+def test_a_change_is_checked_against_exceptions_that_it_does_not_touch():
+    store = ConfigurationStore()
+    accept(
+        store,
+        proposal(
+            "1", 0, *[("exception a", key, value) for key, value in EXCEPTION.items()]
+        ),
+    )
+    edits = tuple(Edit("exception b", key, value) for key, value in EXCEPTION.items())
+    findings = check_edits(store.configuration, edited(store.sections, edits), edits)
+    assert [finding.text for finding in findings] == [
+        "the exception a gives this key for the same scope"
+    ]
+
+
+def test_removing_keys_and_sections_restores_what_was_there():
+    store = ConfigurationStore()
+    accept(store, proposal("1", 0, ("defaults", "floor_percent", "50")))
+    accept(
+        store,
+        proposal(
+            "2", 1, *[("exception a", key, value) for key, value in EXCEPTION.items()]
+        ),
+    )
+    before = store.sections
+    accept(
+        store,
+        proposal(
+            "3",
+            2,
+            ("defaults", "floor_percent", None),
+            *[("exception a", key, None) for key in EXCEPTION],
+        ),
+    )
+    assert (store.sections, store.configuration.exceptions_by_name) == ({}, {})
+    assert store.configuration.defaults.floor_percent == 60
+    assert store.sections_at(2) == before
+    assert store.sections_at(0) == {}
--- a/src/galenaferry/health/home.py
+++ b/src/galenaferry/health/home.py
@@ -230,13 +230,16 @@
     ) -> None:
         heard = instance.heard_by_reporter
         recent = sum(1 for at in heard.values() if now - at < REPORTER_SPAN_MS)
-        tests = (instance.failure_test, instance.slow_test)
-        if not any(test.is_alarmed(limit, recent) for test in tests):
-            return
-        if pool.stands_out(instance, now):
-            instance.course.eject(now)
-        for test in tests:
+        for test, is_worse in (
+            (instance.failure_test, pool.fails_more),
+            (instance.slow_test, pool.is_slower),
+        ):
+            if not test.is_alarmed(limit, recent):
+                continue
             test.reset()
+            if is_worse(instance):
+                instance.course.eject(now)
+                return
 
     def _suspect_reporters(self, now: Millis) -> set[str]:
         """Return the VMs whose own trouble makes several instances look sick."""
@@ -340,16 +343,17 @@
                 short = short.minus(shown.failures_short)
         return baseline(long, short, FAILURE_PRIOR)
 
-    def stands_out(self, instance: _Instance, now: Millis) -> bool:
-        """Whether an instance is worse than its siblings at this moment."""
+    def fails_more(self, instance: _Instance) -> bool:
+        """Whether an instance fails more than its siblings at this moment."""
         key = instance.facts.key
-        own = self._shown_by_key.get(key) or _show(instance, now)
         others = [rates for k, rates in self._shown_by_key.items() if k != key]
         failures = _sum([rates.failures_short for rates in others])
-        if stands_out(own.failures_short, failures):
-            return True
+        return stands_out(self._shown_by_key[key].failures_short, failures)
+
+    def is_slower(self, instance: _Instance) -> bool:
+        """Whether an instance is slower than its siblings at this moment."""
         slow = _sum([rates.slow_short for rates in self._near(instance)])
-        return stands_out(own.slow_short, slow)
+        return stands_out(self._shown_by_key[instance.facts.key].slow_short, slow)
 
     def slow_baseline(self, instance: _Instance) -> float:
         """Return the rate of slow answers of siblings, of the same zone if any."""
--- a/src/galenaferry/requests/tests/builders.py
+++ b/src/galenaferry/requests/tests/builders.py
@@ -120,7 +120,7 @@
             for number, backend in enumerate(self.backends)
         ]
         document = Document("bench.ini", text)
-        configuration = configure(document, 1)
+        configuration = configure(document)
         assert document.findings == []
         self.observer = RecordingObserver()
         self.directory = Directory(self.loop, "north", EqualWeights(), Random(seed))
--- a/src/galenaferry/routing/table.py
+++ b/src/galenaferry/routing/table.py
@@ -1,5 +1,6 @@
 """Lookup of routes by path prefix and of the policy in force for them."""
 
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 from ..configuration.document import (
@@ -38,20 +39,31 @@
     def __init__(self, configuration: Configuration, zone: str) -> None:
         self._defaults = configuration.defaults
         self._zone = zone
+        self._exception_by_name: dict[str, PolicyException] = {}
         self._routes_by_prefix: dict[str, list[PolicyException]] = {}
         self._by_service: dict[str, list[PolicyException]] = {}
         self._by_instance: dict[str, list[PolicyException]] = {}
         self._by_zone: dict[str, list[PolicyException]] = {}
         self._route_by_request: dict[tuple[bytes, str], Route] = {}
-        index_by_kind = {
+        self._index_by_kind = {
             ROUTE: self._routes_by_prefix,
             SERVICE: self._by_service,
             INSTANCE: self._by_instance,
             ZONE: self._by_zone,
         }
-        for exception in configuration.exceptions_by_name.values():
-            index = index_by_kind[exception.scope.kind]
-            index.setdefault(exception.scope.name, []).append(exception)
+        self.update(configuration, configuration.exceptions_by_name)
+
+    def update(self, configuration: Configuration, names: Iterable[str]) -> None:
+        """Take over the defaults and the exceptions called ``names``."""
+        self._defaults = configuration.defaults
+        self._route_by_request.clear()
+        for name in names:
+            self._remove(name)
+            exception = configuration.exceptions_by_name.get(name)
+            if exception is not None:
+                self._exception_by_name[name] = exception
+                index = self._index_by_kind[exception.scope.kind]
+                index.setdefault(exception.scope.name, []).append(exception)
 
     def find(self, method: bytes, target: bytes) -> Route | None:
         """Return the route of a request, None where its path names no service."""
@@ -81,6 +93,15 @@
             policy = _apply(policy, exception)
         return policy
 
+    def _remove(self, name: str) -> None:
+        exception = self._exception_by_name.pop(name, None)
+        if exception is None:
+            return
+        index = self._index_by_kind[exception.scope.kind]
+        index[exception.scope.name].remove(exception)
+        if not index[exception.scope.name]:
+            del index[exception.scope.name]
+
     def _longest_prefix(self, path: str) -> str:
         """Return the longest configured prefix, else the first segment."""
         if self._routes_by_prefix:
--- a/src/galenaferry/routing/tests/test_table.py
+++ b/src/galenaferry/routing/tests/test_table.py
@@ -36,7 +36,7 @@
 @pytest.fixture
 def table():
     document = Document("t.ini", TEXT)
-    configuration = configure(document, 1)
+    configuration = configure(document)
     assert document.findings == []
     return RouteTable(configuration, "north")
 
@@ -65,5 +65,15 @@
     )
 
 
+def test_an_update_takes_over_the_exceptions_that_were_touched(table):
+    document = Document("u.ini", TEXT.replace("max_attempts = 5", "max_attempts = 7"))
+    configuration = configure(document)
+    configuration.remove("route")
+    assert table.find(b"GET", b"/archives/2026").policy.max_attempts == 5
+    table.update(configuration, ["service", "route"])
+    assert table.find(b"GET", b"/archives/2026").policy.max_attempts == 7
+    assert table.find(b"GET", b"/archives/corrections/1").is_idempotent
+
+
 def test_a_path_without_a_segment_has_no_route(table):
     assert table.find(b"GET", b"/") is None
