--- a/src/galenaferry/configuration/acceptance.py
+++ b/src/galenaferry/configuration/acceptance.py
@@ -27,7 +27,6 @@
     Row,
     Transaction,
 )
-from .document import check_edits, edited
 from .messages import Change, Head, Proposal, encode_change, make_change
 from .state import ConfigurationStore
 
@@ -163,8 +162,7 @@
         if clashes:
             self._done(Clashing(tuple(clashes)))
             return
-        sections = edited(store.sections, proposal.edits)
-        findings = check_edits(store.configuration, sections, proposal.edits)
+        findings = store.configuration.check(proposal.edits)
         if findings:
             self._done(Refused(tuple(findings)))
             return
--- /dev/null
+++ b/src/galenaferry/configuration/compact.py
@@ -0,0 +1,182 @@
+"""The configuration in force, held as compact text.
+
+Hundreds of thousands of exceptions must fit into the memory of a small VM. Each
+is kept as one string, found by an index of scopes, and given its typed form only
+when a request needs it; the route table keeps the forms in use.
+"""
+
+import hashlib
+from typing import Final
+
+import xxhash
+
+from ..findings import Finding
+from ..ini import Document
+from .document import (
+    DEFAULTS,
+    PolicyException,
+    Scope,
+    Sections,
+    check_edits,
+    check_section,
+    edited,
+    find_rival,
+    parse_scope,
+    read_defaults,
+    read_exception,
+    render,
+)
+from .messages import Edit
+from .policy import DEFAULT_POLICY, Policy
+
+SEPARATOR: Final = "\n"
+
+Names = str | tuple[str, ...]
+"""One section, or several, that apply to places of the same hash."""
+
+
+class Configuration:
+    """Sections of the configuration with an index of the exceptions' scopes."""
+
+    def __init__(self, sections: Sections | None = None) -> None:
+        self._text_by_section: dict[str, bytes] = {}
+        self._sections_by_hash: dict[int, Names] = {}
+        self.defaults: Policy = DEFAULT_POLICY
+        self.extend(sections or {})
+
+    def __len__(self) -> int:
+        return len(self._text_by_section)
+
+    def names(self) -> list[str]:
+        """Return the names of all sections in their order."""
+        return sorted(self._text_by_section)
+
+    def extend(self, sections: Sections) -> None:
+        """Add checked sections that don't stand here yet."""
+        for section, keys in sections.items():
+            self._put(section, keys)
+
+    def sections(self) -> Sections:
+        """Return all sections as a new dictionary."""
+        return {name: self.section(name) for name in self._text_by_section}
+
+    def section(self, name: str) -> dict[str, str]:
+        """Return the keys of a section, none where it does not stand."""
+        text = self._text_by_section.get(name)
+        if text is None:
+            return {}
+        parts = text.decode().split(SEPARATOR)
+        return dict(zip(parts[::2], parts[1::2]))
+
+    def exceptions_at(self, kind: str, name: str) -> list[PolicyException]:
+        """Return the exceptions for one service, route prefix, zone or instance.
+
+        They come in the order of their names, which is the same on every VM.
+        """
+        names = self._names_at(f"{kind} {name}")
+        if not names:
+            return []
+        exceptions = [read_exception(n, self.section(n)) for n in sorted(names)]
+        return [e for e in exceptions if e.scope[:2] == (kind, name)]
+
+    def has_exceptions_at(self, kind: str, name: str) -> bool:
+        """Whether any exception applies to a place."""
+        return bool(self.exceptions_at(kind, name))
+
+    def apply(self, edits: tuple[Edit, ...]) -> tuple[Edit, ...]:
+        """Apply edits and return those that take them back."""
+        touched = {edit.section for edit in edits}
+        before = {name: self.section(name) for name in touched}
+        after = edited(before, edits)
+        for name in touched:
+            self._remove(name)
+            if after.get(name):
+                self._put(name, after[name])
+        return tuple(
+            Edit(edit.section, edit.key, before[edit.section].get(edit.key))
+            for edit in edits
+        )
+
+    def check(self, edits: tuple[Edit, ...]) -> list[Finding]:
+        """Return the findings of the sections that ``edits`` would touch."""
+        findings = check_edits(edits)
+        if findings:
+            return findings
+        touched = {edit.section for edit in edits}
+        before = {name: self.section(name) for name in touched}
+        after = {name: keys for name, keys in edited(before, edits).items() if keys}
+        document = Document("proposed", render(after))
+        claimed: dict[tuple[Scope, str], str] = {}
+        for section in document.sections():
+            exception = check_section(document, section)
+            if exception is not None:
+                self._check_rivals(document, exception, touched, claimed)
+        return document.findings
+
+    def _check_rivals(
+        self,
+        document: Document,
+        exception: PolicyException,
+        touched: set[str],
+        claimed: dict[tuple[Scope, str], str],
+    ) -> None:
+        """Collect findings where another exception gives the same key."""
+        scope = exception.scope
+        others = [
+            other
+            for other in self.exceptions_at(scope.kind, scope.name)
+            if other.section not in touched and other.scope == scope
+        ]
+        for key, _ in exception.values:
+            rivals = [o.section for o in others if key in dict(o.values)]
+            first = claimed.setdefault((scope, key), exception.section)
+            if first != exception.section:
+                rivals.append(first)
+            if rivals:
+                find_rival(document, exception.section, key, rivals[0])
+
+    def _names_at(self, place: str) -> tuple[str, ...]:
+        names = self._sections_by_hash.get(_hash(place), ())
+        return (names,) if isinstance(names, str) else names
+
+    def _put(self, name: str, keys: dict[str, str]) -> None:
+        parts = [part for item in keys.items() for part in item]
+        self._text_by_section[name] = SEPARATOR.join(parts).encode()
+        if name == DEFAULTS:
+            self.defaults = read_defaults(keys)
+            return
+        place = _place(keys)
+        names = self._names_at(place)
+        self._sections_by_hash[_hash(place)] = (*names, name) if names else name
+
+    def _remove(self, name: str) -> None:
+        keys = self.section(name)
+        if self._text_by_section.pop(name, None) is None:
+            return
+        if name == DEFAULTS:
+            self.defaults = DEFAULT_POLICY
+            return
+        place = _place(keys)
+        left = tuple(other for other in self._names_at(place) if other != name)
+        if not left:
+            del self._sections_by_hash[_hash(place)]
+        else:
+            self._sections_by_hash[_hash(place)] = left[0] if len(left) == 1 else left
+
+
+def content_digest(sections: Sections) -> str:
+    """Return a digest of sections that does not depend on their order."""
+    digest = hashlib.blake2b(digest_size=16)
+    for name in sorted(sections):
+        digest.update(repr((name, sorted(sections[name].items()))).encode())
+    return digest.hexdigest()
+
+
+def _hash(place: str) -> int:
+    """Return a hash that takes less memory as a key than the text."""
+    return xxhash.xxh64_intdigest(place.encode())
+
+
+def _place(keys: dict[str, str]) -> str:
+    scope = parse_scope(keys.get("scope", ""))
+    return f"{scope.kind} {scope.name}" if scope is not None else ""
--- a/src/galenaferry/configuration/component.py
+++ b/src/galenaferry/configuration/component.py
@@ -1,6 +1,5 @@
 """The configuration of this VM: reading, spreading and accepting changes."""
 
-import json
 from collections.abc import Callable
 from random import Random
 from typing import Any, Final
@@ -23,9 +22,10 @@
     change_key,
     decode_head,
 )
-from .document import render, touched_names
+from .document import render
 from .freshness import ConfigurationLease
 from .messages import Change, Head, Proposal, decode_change
+from .snapshots import LoadedSnapshot, SnapshotReader, write_snapshot
 from .spreading import PeersOf, Pull, Push, Send, Spreader
 from .state import Adoption, ConfigurationStore
 
@@ -33,17 +33,14 @@
 SHORTEST_POLL_MS: Final = 1000.0
 CHANGES_PER_SCAN: Final = 200
 SNAPSHOT_EVERY: Final = 100
-SNAPSHOT_NAME: Final = "configuration/snapshot"
 DECISIONS_KEPT: Final = 256
+SECTIONS_DUMPED: Final = 1000
 
 log = logger("configuration")
 
 
 class configuration_changed(Event):
-    """A newer configuration is in force (circuits names events in lower case).
-
-    Its argument names the exceptions that may have changed.
-    """
+    """A newer configuration is in force (circuits names events in lower case)."""
 
 
 class ConfigurationComponent(BaseComponent):
@@ -127,7 +124,7 @@
         if received.is_fork:
             self._alarm(f"{sender} offers another history of the configuration")
         if received.adopted:
-            self._on_adopted(touched_names(received.adopted))
+            self._on_adopted()
         self._send_all(received.sends)
 
     def on_pull(self, sender: str, pull: Pull) -> None:
@@ -144,9 +141,16 @@
             "freshness": self.lease.freshness(now)._asdict(),
             "is_lease_held": self.lease.is_held(now, self.fleet_size),
             "alarms": self.alarms[-10:],
-            "text": render(self.store.sections),
+            "sections": len(self.store.configuration),
+            "text": self._text(),
         }
 
+    def _text(self) -> str:
+        """Return the whole text, or why it is left out."""
+        if len(self.store.configuration) > SECTIONS_DUMPED:
+            return "left out for its size"
+        return render(self.store.configuration.sections())
+
     def _poll(self) -> None:
         """Read the table now and then; the whole fleet keeps to its read budget."""
         self._catch_up(lambda: None)
@@ -181,16 +185,13 @@
     def _read_changes(self) -> None:
         version = self.store.head.version
         if version == 0:
-            self._platform.get_object(SNAPSHOT_NAME, self._on_snapshot)
+            SnapshotReader(self._platform, self._alarm, self._on_snapshot).begin()
             return
         self._scan()
 
-    def _on_snapshot(self, result: Result[str | None, PlatformError]) -> None:
-        if not isinstance(result, Err) and result.ok_value is not None:
-            data = json.loads(result.ok_value)
-            head = Head(int(data["version"]), str(data["digest"]))
-            if self.store.load(head, data["sections"]):
-                self._on_adopted(frozenset(self.store.configuration.exceptions_by_name))
+    def _on_snapshot(self, loaded: LoadedSnapshot | None) -> None:
+        if loaded is not None and self.store.load(*loaded):
+            self._on_adopted()
         self._scan()
 
     def _scan(self) -> None:
@@ -205,7 +206,7 @@
         rows = result.ok_value
         adopted = self._adopt_rows(rows)
         if adopted:
-            self._on_adopted(touched_names(adopted))
+            self._on_adopted()
             self._send_all(self._spreader.announce(adopted))
         if len(rows) == CHANGES_PER_SCAN and adopted:
             self._scan()
@@ -235,24 +236,13 @@
         self._decision_by_id[proposal.id] = decision
         log.info("proposal decided", id=proposal.id, decision=repr(decision))
         if isinstance(decision, Accepted) and decision.version % SNAPSHOT_EVERY == 0:
-            self._write_snapshot()
+            write_snapshot(self._platform, self.store.head, self.store.configuration)
 
-    def _on_adopted(self, names: frozenset[str]) -> None:
+    def _on_adopted(self) -> None:
         self.in_force_since = self._loop.clock.now()
         head = self.store.head
         log.info("configuration in force", version=head.version)
-        self.fire(configuration_changed(names))
-
-    def _write_snapshot(self) -> None:
-        head = self.store.head
-        text = json.dumps(
-            {
-                "version": head.version,
-                "digest": head.digest,
-                "sections": self.store.sections,
-            }
-        )
-        self._platform.put_object(SNAPSHOT_NAME, text, lambda result: None)
+        self.fire(configuration_changed())
 
     def _send_all(self, sends: list[Send]) -> None:
         for send in sends:
--- a/src/galenaferry/configuration/document.py
+++ b/src/galenaferry/configuration/document.py
@@ -1,5 +1,6 @@
-"""The configuration's INI text, its checks and its typed form."""
+"""The configuration's INI text, its checks and its typed parts."""
 
+import re
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -7,7 +8,7 @@
 
 from ..findings import Finding
 from ..ini import Document
-from .messages import Change, Edit
+from .messages import Edit
 from .policy import DEFAULT_POLICY, PARSER_BY_KEY, Policy, with_values
 
 Sections = dict[str, dict[str, str]]
@@ -21,6 +22,8 @@
 INSTANCE: Final = "instance"
 EXCEPTION_KEYS: Final = frozenset(("scope", "reason", "service"))
 POLICY_KEYS: Final = frozenset(PARSER_BY_KEY)
+SECTION_NAME: Final = re.compile(r"defaults|exception [^\s\]\[]+")
+KEY_NAME: Final = re.compile(r"[a-z_]+")
 SCOPE_HELP: Final = (
     "the scope must be 'service NAME', 'route METHOD|* /PREFIX', "
     "'zone NAME' or 'instance IP:PORT'"
@@ -45,113 +48,82 @@
     name.
     """
 
-    name: str
+    section: str
     scope: Scope
     reason: str
     service: str
     values: tuple[tuple[str, object], ...]
 
 
-class Configuration:
-    """The typed form of the configuration in force.
-
-    Exceptions are replaced one by one, since there may be hundreds of thousands
-    of them and a change touches a few.
-    """
-
-    def __init__(self) -> None:
-        self.defaults: Policy = DEFAULT_POLICY
-        self.exceptions_by_name: dict[str, PolicyException] = {}
-        self._names_by_scope: dict[Scope, frozenset[str]] = {}
-
-    def put(self, exception: PolicyException) -> None:
-        """Add an exception or replace the one of the same name."""
-        self.remove(exception.name)
-        self.exceptions_by_name[exception.name] = exception
-        names = self._names_by_scope.get(exception.scope, frozenset())
-        self._names_by_scope[exception.scope] = names | {exception.name}
-
-    def remove(self, name: str) -> None:
-        """Remove an exception if there is one of that name."""
-        exception = self.exceptions_by_name.pop(name, None)
-        if exception is None:
-            return
-        names = self._names_by_scope[exception.scope] - {name}
-        if names:
-            self._names_by_scope[exception.scope] = names
-        else:
-            del self._names_by_scope[exception.scope]
-
-    def rival(self, exception: PolicyException, key: str) -> str | None:
-        """Return another exception that gives ``key`` for the same scope."""
-        for name in sorted(self._names_by_scope.get(exception.scope, ())):
-            if name != exception.name:
-                other = self.exceptions_by_name[name]
-                if any(key == given for given, _ in other.values):
-                    return name
-        return None
-
-
 def sections_of(file: str, text: str) -> Result[Sections, list[Finding]]:
     """Return the sections of INI text that passes every check."""
     document = Document(file, text)
-    configure(document)
+    check_document(document)
     if document.findings:
         return Err(sorted(document.findings, key=lambda finding: finding.line))
-    return Ok(
-        {
-            section: {key: document.text(section, key) or "" for key in _keys}
-            for section in document.sections()
-            for _keys in [list(document.keys(section))]
-        }
-    )
-
-
-def configure(document: Document) -> Configuration:
-    """Return the typed form of ``document``; problems become its findings."""
-    configuration = Configuration()
+    sections: Sections = {}
     for section in document.sections():
-        _read_section(document, section, configuration)
-    return configuration
-
-
-def reconfigure(
-    configuration: Configuration, sections: Sections, touched: Iterable[str]
-) -> None:
-    """Bring ``configuration`` up to ``sections``, of which some were touched."""
-    names = frozenset(touched)
-    for name in names - sections.keys():
-        if name == DEFAULTS:
-            configuration.defaults = DEFAULT_POLICY
-        configuration.remove(_exception_name(name))
-    present = {name: sections[name] for name in names if name in sections}
-    document = Document("configuration", render(present))
+        keys = document.keys(section)
+        sections[section] = {key: document.text(section, key) or "" for key in keys}
+    return Ok(sections)
+
+
+def check_document(document: Document) -> list[PolicyException]:
+    """Check a whole document and return its exceptions."""
+    exceptions = []
+    name_by_place: dict[tuple[Scope, str], str] = {}
     for section in document.sections():
-        _read_section(document, section, configuration)
+        exception = check_section(document, section)
+        if exception is None:
+            continue
+        exceptions.append(exception)
+        for key, _ in exception.values:
+            other = name_by_place.setdefault((exception.scope, key), section)
+            if other != section:
+                find_rival(document, section, key, other)
+    return exceptions
+
+
+def check_section(document: Document, section: str) -> PolicyException | None:
+    """Check one section and return its exception, if it is one."""
+    for key in document.keys(section):
+        if "\n" in (document.text(section, key) or ""):
+            document.find(section, key, "a value must stand on one line")
+    if section == DEFAULTS:
+        document.refuse_unknown(section, POLICY_KEYS)
+        _values(document, section)
+        return None
+    if not SECTION_NAME.fullmatch(section):
+        document.find(section, "", "unknown section")
+        return None
+    return _read_exception(document, section)
 
 
-def check_edits(
-    configuration: Configuration, sections: Sections, edits: tuple[Edit, ...]
-) -> list[Finding]:
-    """Return the findings of the sections that ``edits`` touch.
+def find_rival(document: Document, section: str, key: str, other: str) -> None:
+    """Collect the finding that ``other`` gives the same key for the same scope."""
+    text = f"the section [{other}] gives this key for the same scope"
+    document.find(section, key, text)
 
-    Parameters
-    ----------
-    configuration : Configuration
-        The configuration in force, for clashes of scopes.
-    sections : Sections
-        The sections with the edits applied.
-    edits : tuple of Edit
-    """
-    touched = {edit.section for edit in edits}
-    present = {name: sections[name] for name in touched if name in sections}
-    document = Document("proposed", render(present))
-    trial = Configuration()
-    for section in document.sections():
-        _read_section(document, section, trial)
-    for name, exception in trial.exceptions_by_name.items():
-        _check_scope(document, EXCEPTION_PREFIX + name, exception, configuration)
-    return document.findings
+
+def read_defaults(keys: dict[str, str]) -> Policy:
+    """Return the policy of checked defaults."""
+    document = Document(DEFAULTS, render({DEFAULTS: keys}))
+    return with_values(DEFAULT_POLICY, _values(document, DEFAULTS))
+
+
+def read_exception(section: str, keys: dict[str, str]) -> PolicyException:
+    """Return the exception in a section that has been checked."""
+    return _read_exception(Document(section, render({section: keys})), section)
+
+
+def parse_scope(text: str) -> Scope | None:
+    """Return the scope in a text, None where it is none."""
+    match text.split():
+        case ["service" | "zone" | "instance" as kind, name]:
+            return Scope(kind, name)
+        case ["route", method, prefix] if prefix.startswith("/"):
+            return Scope(ROUTE, prefix.rstrip("/") or "/", method.upper())
+    return None
 
 
 def render(sections: Sections) -> str:
@@ -165,13 +137,6 @@
     return "\n".join(blocks)
 
 
-def touched_names(changes: Iterable[Change]) -> frozenset[str]:
-    """Return the names of the exceptions that ``changes`` touch."""
-    return frozenset(
-        _exception_name(edit.section) for change in changes for edit in change.edits
-    )
-
-
 def difference(old: Sections, new: Sections) -> tuple[Edit, ...]:
     """Return the edits that turn ``old`` into ``new``."""
     edits = []
@@ -183,7 +148,7 @@
     return tuple(edits)
 
 
-def edited(sections: Sections, edits: tuple[Edit, ...]) -> Sections:
+def edited(sections: Sections, edits: Iterable[Edit]) -> Sections:
     """Return a copy of ``sections`` with ``edits`` applied."""
     result = dict(sections)
     for edit in edits:
@@ -199,6 +164,24 @@
     return result
 
 
+def check_edits(edits: Iterable[Edit]) -> list[Finding]:
+    """Return the findings of names and texts that would not survive as INI."""
+    findings = []
+    for edit in edits:
+        text = ""
+        if not SECTION_NAME.fullmatch(edit.section):
+            text = "unknown section"
+        elif not KEY_NAME.fullmatch(edit.key):
+            text = "unknown key"
+        elif edit.value is not None and edit.value != " ".join(edit.value.split()):
+            text = "a value must stand on one line, words one space apart"
+        elif edit.value == "":
+            text = "a value is needed"
+        if text:
+            findings.append(Finding("proposed", edit.section, edit.key, 0, text))
+    return findings
+
+
 def _values(document: Document, section: str) -> list[tuple[str, object]]:
     values: list[tuple[str, object]] = []
     for key in document.keys(section):
@@ -209,15 +192,12 @@
     return values
 
 
-def _read_exception(document: Document, section: str, name: str) -> PolicyException:
+def _read_exception(document: Document, section: str) -> PolicyException:
     document.refuse_unknown(section, POLICY_KEYS | EXCEPTION_KEYS)
-    if not name:
-        document.find(section, "", "an exception needs a name")
     reason = document.text(section, "reason") or ""
     if not reason.strip():
         document.find(section, "reason", "an exception needs a written reason")
-    text = document.text(section, "scope")
-    scope = _parse_scope(text or "")
+    scope = parse_scope(document.text(section, "scope") or "")
     if scope is None:
         document.find(section, "scope", SCOPE_HELP)
         scope = Scope(SERVICE, "")
@@ -227,47 +207,4 @@
     values = tuple(_values(document, section))
     if not values and not service:
         document.find(section, "", "the exception changes nothing")
-    return PolicyException(name, scope, reason, service, values)
-
-
-def _parse_scope(text: str) -> Scope | None:
-    match text.split():
-        case ["service" | "zone" | "instance" as kind, name]:
-            return Scope(kind, name)
-        case ["route", method, prefix] if prefix.startswith("/"):
-            return Scope(ROUTE, prefix.rstrip("/") or "/", method.upper())
-    return None
-
-
-def _exception_name(section: str) -> str:
-    return section.removeprefix(EXCEPTION_PREFIX).strip()
-
-
-def _read_section(
-    document: Document, section: str, configuration: Configuration
-) -> None:
-    """Read one section into ``configuration``."""
-    if section == DEFAULTS:
-        document.refuse_unknown(section, POLICY_KEYS)
-        values = _values(document, section)
-        configuration.defaults = with_values(DEFAULT_POLICY, values)
-    elif section.startswith(EXCEPTION_PREFIX):
-        exception = _read_exception(document, section, _exception_name(section))
-        _check_scope(document, section, exception, configuration)
-        configuration.put(exception)
-    else:
-        document.find(section, "", "unknown section")
-
-
-def _check_scope(
-    document: Document,
-    section: str,
-    exception: PolicyException,
-    configuration: Configuration,
-) -> None:
-    """Refuse two exceptions that give the same key for the same scope."""
-    for key, _ in exception.values:
-        other = configuration.rival(exception, key)
-        if other is not None:
-            text = f"the exception {other} gives this key for the same scope"
-            document.find(section, key, text)
+    return PolicyException(section, scope, reason, service, values)
--- a/src/galenaferry/configuration/state.py
+++ b/src/galenaferry/configuration/state.py
@@ -4,12 +4,8 @@
 from enum import Enum
 from typing import Final
 
-from .document import (
-    Configuration,
-    Sections,
-    edited,
-    reconfigure,
-)
+from .compact import Configuration
+from .document import Sections, edited
 from .messages import EMPTY_HEAD, Change, Edit, Head, Proposal, chain_digest
 
 HISTORY_LENGTH: Final = 1024
@@ -29,7 +25,6 @@
 
     def __init__(self) -> None:
         self.head = EMPTY_HEAD
-        self.sections: Sections = {}
         self.configuration = Configuration()
         self.changes_by_version: OrderedDict[int, Change] = OrderedDict()
         self._undo_by_version: dict[int, tuple[Edit, ...]] = {}
@@ -43,29 +38,25 @@
         digest = chain_digest(self.head.digest, change.version, change.id, change.edits)
         if digest != change.digest:
             return Adoption.FORK
-        self._undo_by_version[change.version] = _undo(self.sections, change.edits)
-        self.sections = edited(self.sections, change.edits)
+        undo = self.configuration.apply(change.edits)
+        self._undo_by_version[change.version] = undo
         self.head = Head(change.version, change.digest)
-        touched = {edit.section for edit in change.edits}
-        reconfigure(self.configuration, self.sections, touched)
         self._remember(change)
         return Adoption.ADOPTED
 
-    def load(self, head: Head, sections: Sections) -> bool:
+    def load(self, head: Head, configuration: Configuration) -> bool:
         """Replace everything by a newer snapshot; an older one is refused."""
         if head.version <= self.head.version:
             return False
         self.head = head
-        self.sections = sections
-        self.configuration = Configuration()
-        reconfigure(self.configuration, sections, sections)
+        self.configuration = configuration
         self.changes_by_version.clear()
         self._undo_by_version.clear()
         return True
 
     def sections_at(self, version: int) -> Sections | None:
         """Return the sections of an earlier version, None where it is not kept."""
-        sections = self.sections
+        sections = self.configuration.sections()
         for number in range(self.head.version, version, -1):
             undo = self._undo_by_version.get(number)
             if undo is None:
@@ -116,11 +107,3 @@
 def _differs(wanted: dict[tuple[str, str], Edit], edit: Edit) -> bool:
     mine = wanted.get((edit.section, edit.key))
     return mine is not None and mine.value != edit.value
-
-
-def _undo(sections: Sections, edits: tuple[Edit, ...]) -> tuple[Edit, ...]:
-    """Return the edits that take ``edits`` back."""
-    return tuple(
-        Edit(edit.section, edit.key, sections.get(edit.section, {}).get(edit.key))
-        for edit in edits
-    )
--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -129,8 +129,8 @@
         self.health.on_verdicts(sender, verdicts)
 
     @handler("configuration_changed", channel="*")
-    def _on_configuration_changed(self, names: frozenset[str]) -> None:
-        self.context.routes.update(self.configuration.store.configuration, names)
+    def _on_configuration_changed(self) -> None:
+        self.context.routes.use(self.configuration.store.configuration)
         self.directory.forget_cache()
 
     def is_ready(self) -> tuple[bool, str]:
--- a/src/galenaferry/health/detector.py
+++ b/src/galenaferry/health/detector.py
@@ -13,9 +13,9 @@
 """
 
 import math
-from typing import Final, NamedTuple
+from typing import Final
 
-from ..clock import Millis
+from .window import Rate
 
 FAILURE_RATES: Final = (0.1, 0.3, 0.9)
 SLOW_RATES: Final = (0.35, 0.8)
@@ -40,54 +40,6 @@
     return math.log(days_between_false_alarms * NOMINAL_REQUESTS_PER_DAY)
 
 
-class Rate(NamedTuple):
-    """Requests and positive outcomes, possibly weighted by age."""
-
-    requests: float
-    positives: float
-
-    def plus(self, other: "Rate") -> "Rate":
-        """Return the sum of two counts."""
-        return Rate(self.requests + other.requests, self.positives + other.positives)
-
-    def minus(self, other: "Rate") -> "Rate":
-        """Return the difference of two counts, at least zero."""
-        return Rate(
-            max(0.0, self.requests - other.requests),
-            max(0.0, self.positives - other.positives),
-        )
-
-
-class Window:
-    """Count that decays exponentially with the time constant ``span``."""
-
-    __slots__ = ("_at", "_span", "positives", "requests")
-
-    def __init__(self, span: Millis) -> None:
-        self._span = span
-        self._at: Millis = 0.0
-        self.requests = 0.0
-        self.positives = 0.0
-
-    def add(self, requests: int, positives: int, now: Millis) -> None:
-        """Add outcomes observed at ``now``."""
-        self._decay(now)
-        self.requests += requests
-        self.positives += positives
-
-    def rate(self, now: Millis) -> Rate:
-        """Return the decayed count."""
-        self._decay(now)
-        return Rate(self.requests, self.positives)
-
-    def _decay(self, now: Millis) -> None:
-        if now > self._at:
-            factor = math.exp((self._at - now) / self._span)
-            self.requests *= factor
-            self.positives *= factor
-            self._at = now
-
-
 def baseline(long: Rate, short: Rate, prior: Rate) -> float:
     """Return the rate that the siblings show.
 
--- a/src/galenaferry/ini.py
+++ b/src/galenaferry/ini.py
@@ -25,9 +25,9 @@
         self.file = file
         self.findings: list[Finding] = []
         try:
-            self._ini = IniConfig.parse(file, data=text)
+            self._ini = _parse(file, text)
         except ParseError as error:
-            self._ini = IniConfig.parse(file, data="")
+            self._ini = _parse(file, "")
             line = error.lineno + 1
             self.findings.append(Finding(file, "", "", line, error.msg))
 
@@ -118,3 +118,8 @@
     except ValueError:
         raise ValueError(f"{host!r} is not an IP number") from None
     return host.strip("[]"), int(port)
+
+
+def _parse(file: str, text: str) -> IniConfig:
+    """Parse INI text; only whole lines are comments, values keep their ``#``."""
+    return IniConfig.parse(file, data=text, strip_inline_comments=False)
--- a/src/galenaferry/routing/table.py
+++ b/src/galenaferry/routing/table.py
@@ -1,14 +1,13 @@
 """Lookup of routes by path prefix and of the policy in force for them."""
 
-from collections.abc import Iterable
 from typing import Final, NamedTuple
 
+from ..configuration.compact import Configuration
 from ..configuration.document import (
     INSTANCE,
     ROUTE,
     SERVICE,
     ZONE,
-    Configuration,
     PolicyException,
 )
 from ..configuration.policy import BY_METHOD, Policy, with_values
@@ -37,33 +36,14 @@
     """
 
     def __init__(self, configuration: Configuration, zone: str) -> None:
-        self._defaults = configuration.defaults
         self._zone = zone
-        self._exception_by_name: dict[str, PolicyException] = {}
-        self._routes_by_prefix: dict[str, list[PolicyException]] = {}
-        self._by_service: dict[str, list[PolicyException]] = {}
-        self._by_instance: dict[str, list[PolicyException]] = {}
-        self._by_zone: dict[str, list[PolicyException]] = {}
+        self.use(configuration)
+
+    def use(self, configuration: Configuration) -> None:
+        """Take over a configuration, or the one in use after a change."""
+        self._configuration = configuration
         self._route_by_request: dict[tuple[bytes, str], Route] = {}
-        self._index_by_kind = {
-            ROUTE: self._routes_by_prefix,
-            SERVICE: self._by_service,
-            INSTANCE: self._by_instance,
-            ZONE: self._by_zone,
-        }
-        self.update(configuration, configuration.exceptions_by_name)
-
-    def update(self, configuration: Configuration, names: Iterable[str]) -> None:
-        """Take over the defaults and the exceptions called ``names``."""
-        self._defaults = configuration.defaults
-        self._route_by_request.clear()
-        for name in names:
-            self._remove(name)
-            exception = configuration.exceptions_by_name.get(name)
-            if exception is not None:
-                self._exception_by_name[name] = exception
-                index = self._index_by_kind[exception.scope.kind]
-                index.setdefault(exception.scope.name, []).append(exception)
+        self._policy_by_service: dict[str, Policy] = {}
 
     def find(self, method: bytes, target: bytes) -> Route | None:
         """Return the route of a request, None where its path names no service."""
@@ -79,37 +59,31 @@
 
     def service_policy(self, service: str) -> Policy:
         """Return the policy of a service without any route."""
-        policy = self._defaults
-        for exception in self._by_zone.get(self._zone, ()):
-            policy = _apply(policy, exception)
-        for exception in self._by_service.get(service, ()):
-            policy = _apply(policy, exception)
+        policy = self._policy_by_service.get(service)
+        if policy is None:
+            policy = self._configuration.defaults
+            policy = self._apply(policy, ZONE, self._zone)
+            policy = self._apply(policy, SERVICE, service)
+            if len(self._policy_by_service) < CACHE_LIMIT:
+                self._policy_by_service[service] = policy
         return policy
 
     def instance_policy(self, service: str, address: str) -> Policy:
         """Return the policy of one instance of a service."""
-        policy = self.service_policy(service)
-        for exception in self._by_instance.get(address, ()):
-            policy = _apply(policy, exception)
-        return policy
+        return self._apply(self.service_policy(service), INSTANCE, address)
 
-    def _remove(self, name: str) -> None:
-        exception = self._exception_by_name.pop(name, None)
-        if exception is None:
-            return
-        index = self._index_by_kind[exception.scope.kind]
-        index[exception.scope.name].remove(exception)
-        if not index[exception.scope.name]:
-            del index[exception.scope.name]
+    def _apply(self, policy: Policy, kind: str, name: str) -> Policy:
+        for exception in self._configuration.exceptions_at(kind, name):
+            policy = with_values(policy, exception.values)
+        return policy
 
     def _longest_prefix(self, path: str) -> str:
         """Return the longest configured prefix, else the first segment."""
-        if self._routes_by_prefix:
-            prefix = path.rstrip("/") or "/"
-            while prefix:
-                if prefix in self._routes_by_prefix:
-                    return prefix
-                prefix = prefix.rpartition("/")[0]
+        prefix = path.rstrip("/") or "/"
+        while prefix:
+            if self._configuration.has_exceptions_at(ROUTE, prefix):
+                return prefix
+            prefix = prefix.rpartition("/")[0]
         return "/" + path.lstrip("/").partition("/")[0]
 
     def _resolve(self, method: bytes, prefix: str) -> Route | None:
@@ -121,7 +95,7 @@
             return None
         policy = self.service_policy(service)
         for exception in chain:
-            policy = _apply(policy, exception)
+            policy = with_values(policy, exception.values)
         return Route(
             service=service,
             name=f"{method.decode('latin-1')} {prefix}",
@@ -134,17 +108,18 @@
         chain: list[PolicyException] = []
         place = prefix
         while place:
-            for exception in self._routes_by_prefix.get(place, ()):
-                if exception.scope.method in ("*", method.decode("latin-1")):
-                    chain.insert(0, exception)
+            here = [
+                exception
+                for exception in self._configuration.exceptions_at(ROUTE, place)
+                if exception.scope.method in ("*", method.decode("latin-1"))
+            ]
+            # One for the method goes over one for every method.
+            here.sort(key=lambda exception: exception.scope.method != "*")
+            chain = here + chain
             place = place.rpartition("/")[0]
         return chain
 
 
-def _apply(policy: Policy, exception: PolicyException) -> Policy:
-    return with_values(policy, exception.values)
-
-
 def _is_idempotent(policy: Policy, method: bytes) -> bool:
     if policy.idempotent == BY_METHOD:
         return method in IDEMPOTENT_METHODS
