Claim keyed requests in the platform's table before they are sent

Cause: a repeat with the same key through another VM would run again. Change: one row a key, written on the condition that it is absent, before any byte goes to a backend server; nobody takes a claim over, so a paused holder or a late write is harmless without lease or fence; indefinite answers are asked again until the row tells; writes go in transactions of up to 64 rows within 300 a second for the fleet; an answer up to 32 KiB is recorded and replayed; a keyed request is finished after its caller left. Found by its tests: a repeat refused while the first was in progress was called not-run; it is told unknown now. Conclusion: the rate at the platform's limit is 300 transactions/s x 64 rows / 2 rows a request.

--- /dev/null
+++ b/src/galenaferry/claims/handle.py
@@ -0,0 +1,81 @@
+"""The claim of one exchange: collects its answer and settles it once."""
+
+import hashlib
+from typing import Final
+
+from ..attempts.messages import Ran
+from ..framing.heads import end_to_end
+from ..framing.messages import ResponseHead
+from .component import ClaimsComponent
+from .messages import ClaimState, KeyedRequest, Record
+
+LARGEST_RECORD_BYTES: Final = 32_768
+
+
+class ClaimHandle:
+    """A granted claim.
+
+    An answer that is too large to be recorded is settled as unknown: a repeat
+    can't be given the whole of it.
+    """
+
+    def __init__(
+        self, claims: ClaimsComponent, request: KeyedRequest, revision: int
+    ) -> None:
+        self._claims = claims
+        self._request = request
+        self._revision = revision
+        self._head: ResponseHead | None = None
+        self._body = bytearray()
+        self._is_settled = False
+
+    def on_head(self, head: ResponseHead) -> None:
+        """Keep the head of the answer."""
+        self._head = head
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a part of the answer's body, while it is small enough."""
+        if len(self._body) <= LARGEST_RECORD_BYTES:
+            self._body += data
+
+    def settle_answered(self) -> None:
+        """Record the whole answer."""
+        head = self._head
+        if head is None or len(self._body) > LARGEST_RECORD_BYTES:
+            self._settle(ClaimState.UNKNOWN, None)
+            return
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in end_to_end(head.headers)
+            if name != b"content-length"
+        )
+        record = Record(head.status, headers, self._body.decode("latin-1"))
+        self._settle(ClaimState.ANSWERED, record)
+
+    def settle_unanswered(self, ran: Ran) -> None:
+        """Record that the request was not run, or that this is not known."""
+        is_not_run = ran is Ran.NOT_RUN
+        state = ClaimState.NOT_RUN if is_not_run else ClaimState.UNKNOWN
+        self._settle(state, None)
+
+    def _settle(self, state: ClaimState, record: Record | None) -> None:
+        if not self._is_settled:
+            self._is_settled = True
+            self._claims.settle(self._request, self._revision, state, record)
+
+
+def row_key(service: str, authorization: bytes, key: bytes) -> str:
+    """Return the name of the row of a key; callers' keys don't mix.
+
+    Parameters
+    ----------
+    service : str
+    authorization : bytes
+        The request's Authorization header, which tells callers apart.
+    key : bytes
+        The request's Idempotency-Key header.
+    """
+    digest = hashlib.blake2b(digest_size=20)
+    for part in (service.encode(), authorization, key):
+        digest.update(len(part).to_bytes(4, "big") + part)
+    return f"claim/{digest.hexdigest()}"
--- /dev/null
+++ b/src/galenaferry/claims/writer.py
@@ -0,0 +1,122 @@
+"""Writer of conditional rows that batches them and never guesses their fate."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from result import Err, Result
+
+from ..network.loop import Loop
+from ..platform.client import PlatformClient
+from ..platform.messages import (
+    Committed,
+    Condition,
+    Conflict,
+    PlatformError,
+    Put,
+    Transaction,
+)
+from .pacing import ROWS_PER_TRANSACTION, Pacer
+
+RETRY_MS: Final = 200.0
+
+
+class Write(NamedTuple):
+    """One row to write on a condition.
+
+    ``done`` gets the new revision, or None where the row has another revision.
+    ``is_wanted`` tells whether anybody still waits; a write that nobody waits
+    for is not tried again after an indefinite answer.
+    """
+
+    condition: Condition
+    value: str
+    done: Callable[[int | None], None]
+    is_wanted: Callable[[], bool]
+
+
+class RowWriter:
+    """Sends waiting writes in transactions.
+
+    A transaction with a row in conflict takes no effect: that row is told so
+    and the others are sent again. After an indefinite answer all are sent again
+    until the answer is definite; a row that the first transaction wrote is then
+    in conflict, and its owner finds its own name in it.
+    """
+
+    def __init__(
+        self, loop: Loop, platform: PlatformClient, live_vms: Callable[[], int]
+    ) -> None:
+        self._loop = loop
+        self._platform = platform
+        self._live_vms = live_vms
+        self._waiting: deque[Write] = deque()
+        self._pacer = Pacer()
+        self._is_scheduled = False
+        self.transactions = 0
+        self.rows = 0
+
+    def write(self, write: Write) -> None:
+        """Queue a write."""
+        self._waiting.append(write)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        wait = self._pacer.wait(self._loop.clock.now())
+        if wait is not None and self._waiting and not self._is_scheduled:
+            self._is_scheduled = True
+            self._loop.after(wait, self._send)
+
+    def _send(self) -> None:
+        self._is_scheduled = False
+        batch = self._take_batch()
+        if not batch:
+            return
+        self._pacer.begin(self._live_vms(), self._loop.clock.now())
+        self.transactions += 1
+        self.rows += len(batch)
+        transaction = Transaction(
+            tuple(write.condition for write in batch),
+            tuple(Put(write.condition.key, write.value) for write in batch),
+        )
+        self._platform.commit(transaction, lambda result: self._on_end(batch, result))
+        self._schedule()
+
+    def _take_batch(self) -> list[Write]:
+        """Return the next writes; two for one row don't go together."""
+        batch: list[Write] = []
+        keys: set[str] = set()
+        later: list[Write] = []
+        while self._waiting and len(batch) < ROWS_PER_TRANSACTION:
+            write = self._waiting.popleft()
+            if write.condition.key in keys:
+                later.append(write)
+                continue
+            keys.add(write.condition.key)
+            batch.append(write)
+        self._waiting.extendleft(reversed(later))
+        return batch
+
+    def _on_end(
+        self, batch: list[Write], result: Result[Committed | Conflict, PlatformError]
+    ) -> None:
+        self._pacer.end()
+        if isinstance(result, Err):
+            wanted = [write for write in batch if write.is_wanted()]
+            self._loop.after(RETRY_MS, lambda: self._again(wanted))
+            self._schedule()
+            return
+        match result.ok_value:
+            case Committed(revision):
+                for write in batch:
+                    write.done(revision)
+            case Conflict(key):
+                self._again([w for w in batch if w.condition.key != key])
+                for write in batch:
+                    if write.condition.key == key:
+                        write.done(None)
+        self._schedule()
+
+    def _again(self, writes: list[Write]) -> None:
+        self._waiting.extendleft(reversed(writes))
+        self._schedule()
--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -12,6 +12,7 @@
 from .admin.component import AdminComponent, AdminSources
 from .backends.directory import Directory
 from .backends.messages import Instance
+from .claims.component import ClaimsComponent
 from .configuration.component import ConfigurationComponent
 from .configuration.messages import Head
 from .configuration.spreading import Pull, Push
@@ -79,8 +80,16 @@
             self.loop, self.membership.table, self._send, self._on_health_change
         ).register(self)
         self.directory = Directory(self.loop, settings.zone, self.health, random)
+        self.claims = ClaimsComponent(
+            self.loop, platform, lambda: self.directory.live_vms
+        ).register(self)
         self.context = RequestContext(
-            self.loop, self.directory, self._route_table(), self.health, random
+            self.loop,
+            self.directory,
+            self._route_table(),
+            self.health,
+            random,
+            self.claims,
         )
         self.health.routes = self.context.routes
         self.health.is_cold = self.directory.is_cold
@@ -160,6 +169,7 @@
             "membership": self.membership.dump(),
             "health": self.health.dump(),
             "peers": self.peers.dump(),
+            "claims": self.claims.dump(),
             "requests": self._dump_requests(),
         }
 
--- a/src/galenaferry/platform/client.py
+++ b/src/galenaferry/platform/client.py
@@ -44,6 +44,11 @@
         self._address = address
         self._timeout_ms = timeout_ms
 
+    @property
+    def timeout_ms(self) -> int:
+        """Longest time that a call takes, in milliseconds."""
+        return self._timeout_ms
+
     def read(self, key: str, done: ReadDone) -> None:
         """Read one row, None where it does not exist."""
         self._get(f"/table/rows?key={quote(key, safe='')}", _parse_row, done)
--- a/src/galenaferry/requests/component.py
+++ b/src/galenaferry/requests/component.py
@@ -45,8 +45,9 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of connections with a request in progress."""
-        return sum(1 for caller in self._callers if caller.has_exchange)
+        """Number of connections with a request in progress, left ones included."""
+        waiting = sum(1 for caller in self._callers if caller.has_exchange)
+        return waiting + len(self.context.detached)
 
     def stop_accepting(self) -> None:
         """Close the listening socket and idle connections."""
--- a/src/galenaferry/requests/context.py
+++ b/src/galenaferry/requests/context.py
@@ -2,11 +2,12 @@
 
 from dataclasses import dataclass, field
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 from ..attempts.budget import RetryBudget
 from ..attempts.messages import Evidence
 from ..backends.directory import Directory
+from ..claims.component import ClaimsComponent
 from ..clock import Millis
 from ..network.loop import Loop
 from ..routing.table import RouteTable
@@ -31,16 +32,21 @@
 
 @dataclass(slots=True)
 class RequestContext:
-    """Shared objects of the request path."""
+    """Shared objects of the request path.
+
+    ``detached`` holds the exchanges that go on after their caller left.
+    """
 
     loop: Loop
     directory: Directory
     routes: RouteTable
     observer: Observer
     random: Random
+    claims: ClaimsComponent | None = None
     counters: RequestCounters = field(default_factory=RequestCounters)
     budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     line_by_service: dict[str, WaitingLine] = field(default_factory=dict)
+    detached: set[Any] = field(default_factory=set)
     is_stopping: bool = False
 
     def budget(self, service: str) -> RetryBudget:
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -13,7 +13,20 @@
 from ..attempts.outcomes import classify_status, is_permitted, judge, worse
 from ..backends.choice import Busy, Chosen, Nothing
 from ..backends.messages import Instance, Shares
+from ..claims.component import ClaimsComponent
+from ..claims.handle import ClaimHandle, row_key
+from ..claims.messages import (
+    ClaimOutcome,
+    Granted,
+    KeyedRequest,
+    Mismatched,
+    Record,
+    Replayed,
+    Unavailable,
+    Untold,
+)
 from ..clock import Millis
+from ..configuration.policy import WAIT
 from ..framing.heads import encode_request
 from ..framing.messages import Header, RequestHead, ResponseHead
 from ..network.loop import Timer
@@ -23,8 +36,10 @@
 from .context import RequestContext
 from .messages import (
     ATTEMPT,
+    IDEMPOTENCY_KEY,
     RAN,
     REASON,
+    REPLAYED,
     REQUEST_ID,
     RETRY_AFTER,
     TIME_LEFT,
@@ -61,6 +76,34 @@
         """Take more of the request's body."""
 
 
+class _Nobody:
+    """Sink of an answer whose caller has left."""
+
+    def start_answer(self, head: ResponseHead, extra: tuple[Header, ...]) -> None:
+        return
+
+    def answer_body(self, data: bytes) -> bool:
+        return True
+
+    def end_answer(self) -> None:
+        return
+
+    def break_answer(self) -> None:
+        return
+
+    def send_continue(self) -> None:
+        return
+
+    def pause_body(self) -> None:
+        return
+
+    def resume_body(self) -> None:
+        return
+
+
+NOBODY: Final = _Nobody()
+
+
 class Exchange:
     """A request and everything that is done to answer it.
 
@@ -73,6 +116,7 @@
 
     __slots__ = (
         "_attempt",
+        "_claim",
         "_context",
         "_deadline",
         "_deadline_timer",
@@ -102,6 +146,7 @@
         self.is_answer_started = False
         self._route: Route | None = None
         self._attempt: Attempt | None = None
+        self._claim: ClaimHandle | None = None
         self._instance: Instance | None = None
         self._tried: frozenset[str] = frozenset()
         self._shares = NO_SHARES
@@ -130,7 +175,11 @@
         self._deadline = context.loop.clock.now() + total
         self._deadline_timer = context.loop.after(total, self._on_deadline)
         context.budget(route.service).earn(route.policy.retry_budget_percent)
-        self._try()
+        key = self.head.header(IDEMPOTENCY_KEY)
+        if key is None or route.is_idempotent or context.claims is None:
+            self._try()
+        else:
+            self._ask_claim(context.claims, route, key)
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the request's body from the caller."""
@@ -161,11 +210,21 @@
         if self.is_over:
             return
         self._context.counters.callers_left += 1
+        if self._is_worth_finishing():
+            self._sink = NOBODY
+            self._context.detached.add(self)
+            return
         if self._attempt is not None:
             self._attempt.abandon()
             self._settle(judge(CallerLeft()))
         self._close()
 
+    def _is_worth_finishing(self) -> bool:
+        """Whether a repeat with the same key can be given the answer."""
+        attempt = self._attempt
+        is_sent = attempt is not None and not attempt.is_over
+        return self._claim is not None and is_sent and self.body.is_complete
+
     def refuse(self, status: int, reason: str) -> None:
         """End the exchange by an answer of the fleet's own."""
         if self._attempt is not None:
@@ -219,12 +278,16 @@
 
     def on_attempt_body(self, data: bytes) -> None:
         """Pass on a part of the body."""
+        if self._claim is not None:
+            self._claim.on_body(data)
         if not self._sink.answer_body(data) and self._attempt is not None:
             self._attempt.pause()
 
     def on_attempt_complete(self) -> None:
         """End the answer."""
         self._context.counters.answered += 1
+        if self._claim is not None and self._ran is Ran.ANSWERED:
+            self._claim.settle_answered()
         self._close()
         self._sink.end_answer()
 
@@ -248,6 +311,62 @@
             total = min(total, float(text))
         return total
 
+    def _ask_claim(self, claims: ClaimsComponent, route: Route, key: bytes) -> None:
+        """Ask for the right to run a keyed request before it goes anywhere."""
+        authorization = self.head.header(b"authorization") or b""
+        request = KeyedRequest(
+            row_key(route.service, authorization, key),
+            f"{self._context.random.getrandbits(128):032x}",
+            f"{self.head.method.decode()} {self.head.target.decode('latin-1')}",
+        )
+        claims.claim(
+            request,
+            self._deadline,
+            route.policy.claims_outage == WAIT,
+            lambda outcome: self._on_claim(claims, request, outcome),
+        )
+
+    def _on_claim(
+        self, claims: ClaimsComponent, request: KeyedRequest, outcome: ClaimOutcome
+    ) -> None:
+        match outcome:
+            case Granted(revision):
+                self._claim = ClaimHandle(claims, request, revision)
+                if self.is_over:
+                    self._claim.settle_unanswered(Ran.NOT_RUN)
+                else:
+                    self._try()
+            case _ if self.is_over:
+                return
+            case Replayed(record):
+                self._replay(record)
+            case Untold():
+                self._ran = Ran.UNKNOWN
+                self.refuse(409, "the key was used and its outcome is not known")
+            case Mismatched():
+                self.refuse(422, "the key belongs to another request")
+            case Unavailable():
+                self.refuse(503, "claims can't be recorded now")
+
+    def _replay(self, record: Record) -> None:
+        """Give the recorded answer of an earlier request with the same key."""
+        body = record.body.encode("latin-1")
+        headers = tuple(
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in record.headers
+        )
+        extra = (
+            (b"content-length", b"%d" % len(body)),
+            (REPLAYED, b"1"),
+            (REQUEST_ID, self._request_id),
+        )
+        self._close()
+        self._context.counters.count_status(record.status)
+        head = ResponseHead(record.status, b"", headers, len(body))
+        self._sink.start_answer(head, extra)
+        self._sink.answer_body(body)
+        self._sink.end_answer()
+
     def _try(self) -> None:
         route = self._route
         assert route is not None
@@ -356,6 +475,8 @@
             extra += ((RAN, self._ran.value.encode()),)
         self._context.counters.count_status(head.status)
         self.is_answer_started = True
+        if self._claim is not None:
+            self._claim.on_head(head)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._sink.start_answer(head, extra)
@@ -381,5 +502,9 @@
         # Without the cycle to the attempt both are freed by reference counts,
         # not by a collection that would hold other requests up.
         self._attempt = None
+        if self._claim is not None:
+            self._claim.settle_unanswered(self._ran)
+            self._claim = None
+        self._context.detached.discard(self)
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
--- a/src/galenaferry/requests/messages.py
+++ b/src/galenaferry/requests/messages.py
@@ -9,6 +9,7 @@
 REASON: Final = b"galenaferry-reason"
 REQUEST_ID: Final = b"x-request-id"
 IDEMPOTENCY_KEY: Final = b"idempotency-key"
+REPLAYED: Final = b"galenaferry-replayed"
 RETRY_AFTER: Final = b"retry-after"
 
 
