--- a/src/galenaferry/backends/directory.py
+++ b/src/galenaferry/backends/directory.py
@@ -39,7 +39,7 @@
 
     def __init__(self, loop: Loop, zone: str, weights: Weights, random: Random) -> None:
         self._loop = loop
-        self._zone = zone
+        self.zone = zone
         self._weights = weights
         self._random = random
         self._cache_by_service: dict[str, tuple[Millis, Candidates]] = {}
@@ -131,7 +131,7 @@
             if weight <= 0.0 or instance.is_leaving:
                 continue
             weight *= cold_weight(self._age(instance), policy.cold_start_ms)
-            group = local if instance.zone == self._zone else remote
+            group = local if instance.zone == self.zone else remote
             group.append(Candidate(instance, weight))
         return Candidates(tuple(local), tuple(remote))
 
--- a/src/galenaferry/health/detector.py
+++ b/src/galenaferry/health/detector.py
@@ -13,7 +13,7 @@
 """
 
 import math
-from typing import Final
+from typing import Final, NamedTuple
 
 from .window import Rate
 
@@ -23,7 +23,9 @@
 SMALLEST_RATIO: Final = 2.5
 LOWEST_BASELINE: Final = 0.0005
 HIGHEST_BASELINE: Final = 0.3
-NEEDED_POSITIVE_TICKS: Final = 4
+NEEDED_TICKS: Final = 4
+NEEDED_TICKS_WHEN_SPARING: Final = 5
+SPARING_DAYS: Final = 50.0
 BURST_TICKS: Final = 3
 CONTRAST: Final = 2.5
 SHORT_EXCESS: Final = 3.0
@@ -31,13 +33,23 @@
 LARGEST_REPORTER_SHARE: Final = 0.6
 
 
-def threshold(days_between_false_alarms: float) -> float:
-    """Return the threshold for a mean time between false alarms of an instance.
+class Strictness(NamedTuple):
+    """What an alarm needs: a sum of ``limit`` over ``ticks`` ticks that add to it."""
+
+    limit: float
+    ticks: int
+
+
+def strictness(days_between_false_alarms: float) -> Strictness:
+    """Return what gives a mean time between false alarms of an instance.
 
     The mean number of requests between false alarms of a cumulative sum is at
-    least the exponential of its threshold.
+    least the exponential of its limit. That holds for independent errors; the
+    number of ticks guards against bursts, whose errors are not independent.
     """
-    return math.log(days_between_false_alarms * NOMINAL_REQUESTS_PER_DAY)
+    limit = math.log(days_between_false_alarms * NOMINAL_REQUESTS_PER_DAY)
+    is_sparing = days_between_false_alarms >= SPARING_DAYS
+    return Strictness(limit, NEEDED_TICKS_WHEN_SPARING if is_sparing else NEEDED_TICKS)
 
 
 def baseline(long: Rate, short: Rate, prior: Rate) -> float:
@@ -127,17 +139,17 @@
         if self.score <= 0.0:
             self.reset()
 
-    def is_alarmed(self, limit: float, reporter_count: int) -> bool:
+    def is_alarmed(self, needed: Strictness, reporter_count: int) -> bool:
         """Whether the evidence is enough, lasting and not of one VM alone.
 
         Parameters
         ----------
-        limit : float
+        needed : Strictness
         reporter_count : int
             Number of VMs that sent the instance work lately.
         """
         if not any(
-            total >= limit and ticks >= NEEDED_POSITIVE_TICKS
+            total >= needed.limit and ticks >= needed.ticks
             for total, ticks in zip(self._sums, self._ticks)
         ):
             return False
--- a/src/galenaferry/health/home.py
+++ b/src/galenaferry/health/home.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 from ..clock import Millis
-from .detector import FAILURE_RATES, SLOW_RATES, StreamTest, threshold
+from .detector import FAILURE_RATES, SLOW_RATES, StreamTest, Strictness, strictness
 from .messages import Counts, HealthState, Report, Verdict
 from .readmission import Course
 from .reporters import SPAN_MS, Reporter, Reporters
@@ -143,9 +143,9 @@
         suspects = self._reporters.suspects(now)
         verdicts: list[Verdict] = []
         for service, keys in self._keys_by_service.items():
-            limit = threshold(self._dial_of(service).days_between_false_ejections)
+            needed = strictness(self._dial_of(service).days_between_false_ejections)
             instances = [self._instances_by_key[key] for key in keys]
-            self._weigh_service(instances, suspects, limit, now)
+            self._weigh_service(instances, suspects, needed, now)
             verdicts += self._verdicts(instances, now)
         return verdicts
 
@@ -192,7 +192,7 @@
         self,
         instances: list[_Instance],
         suspects: set[str],
-        limit: float,
+        needed: Strictness,
         now: Millis,
     ) -> None:
         for instance in instances:
@@ -201,11 +201,11 @@
         healthy = [i for i in instances if i.course.state is HealthState.HEALTHY]
         siblings = Siblings([instance.show(now) for instance in healthy])
         for instance in instances:
-            self._weigh(instance, siblings, limit, now)
+            self._weigh(instance, siblings, needed, now)
             instance.clear()
 
     def _weigh(
-        self, instance: _Instance, siblings: Siblings, limit: float, now: Millis
+        self, instance: _Instance, siblings: Siblings, needed: Strictness, now: Millis
     ) -> None:
         course = instance.course
         course.on_tick(now)
@@ -223,18 +223,18 @@
             slow_base = siblings.slow_baseline(key)
             slow = instance.slow_by_reporter
             instance.slow_test.add(instance.requests, slow, slow_base)
-        self._eject_if_alarmed(instance, siblings, limit, now)
+        self._eject_if_alarmed(instance, siblings, needed, now)
 
     def _eject_if_alarmed(
-        self, instance: _Instance, siblings: Siblings, limit: float, now: Millis
+        self, instance: _Instance, siblings: Siblings, needed: Strictness, now: Millis
     ) -> None:
         for test, is_worse in (
             (instance.failure_test, siblings.fails_more),
             (instance.slow_test, siblings.is_slower),
         ):
-            if test.score < limit:
+            if test.score < needed.limit:
                 continue
-            if not test.is_alarmed(limit, instance.recent_reporters(now)):
+            if not test.is_alarmed(needed, instance.recent_reporters(now)):
                 continue
             test.reset()
             if is_worse(instance.facts.key):
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -389,6 +389,7 @@
         pool = context.directory.pool(instance)
         connection = pool.acquire(route.is_idempotent, self._shares)
         self._instance = instance
+        context.counters.remote_zone += instance.zone != context.directory.zone
         self._tried |= {instance.address}
         attempt = Attempt(context.loop, pool, connection, self, route.policy)
         self._attempt = attempt
