--- /dev/null
+++ b/src/galenaferry/admin/interface.py
@@ -0,0 +1,134 @@
+"""The administration interface: versioned paths, a token, errors as JSON."""
+
+import hmac
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from ..configuration.acceptance import (
+    Accepted,
+    Clashing,
+    Decision,
+    Refused,
+    Undecided,
+)
+from ..configuration.component import ConfigurationComponent
+from ..configuration.messages import change_row
+from ..network.json_server import JsonRequest, JsonResponse
+from .messages import read_proposal
+
+HISTORY_SHOWN: Final = 100
+
+
+class AdminSources(NamedTuple):
+    """What the interface shows and commands.
+
+    ``is_ready`` gives whether callers may come, and why not.
+    """
+
+    is_ready: Callable[[], tuple[bool, str]]
+    dump: Callable[[], dict[str, Any]]
+    metrics: Callable[[], Any]
+    fleet: Callable[[], dict[str, Any]]
+    drain: Callable[[], None]
+    configuration: ConfigurationComponent
+
+
+class AdminInterface:
+    """Answers to operators.
+
+    Parameters
+    ----------
+    token : str
+        Needed for everything but readiness; empty for none.
+    sources : AdminSources
+    """
+
+    def __init__(self, token: str, sources: AdminSources) -> None:
+        self._token = token
+        self._sources = sources
+
+    def respond(self, request: JsonRequest) -> JsonResponse:
+        """Answer one request."""
+        if request.path == "/ready" and request.method == "GET":
+            return self._ready()
+        if not self._is_allowed(request):
+            return _error(401, "unauthorized", "the token is missing or wrong")
+        change_prefix = "/v1/changes/"
+        if request.path.startswith(change_prefix):
+            return self._change(request, request.path.removeprefix(change_prefix))
+        match f"{request.method} {request.path}":
+            case "GET /v1/state":
+                return JsonResponse(200, self._sources.dump())
+            case "GET /v1/metrics":
+                return JsonResponse(200, self._sources.metrics())
+            case "GET /v1/fleet":
+                return JsonResponse(200, self._sources.fleet())
+            case "GET /v1/configuration":
+                return self._configuration(request.query.get("version"))
+            case "GET /v1/history":
+                return self._history()
+            case "POST /v1/drain":
+                self._sources.drain()
+                return JsonResponse(202, {"draining": True})
+        return _error(404, "not-found", f"{request.method} {request.path}")
+
+    def _is_allowed(self, request: JsonRequest) -> bool:
+        if not self._token:
+            return True
+        given = request.headers.get("authorization", "")
+        return hmac.compare_digest(given.encode(), f"Bearer {self._token}".encode())
+
+    def _ready(self) -> JsonResponse:
+        is_ready, reason = self._sources.is_ready()
+        return JsonResponse(200 if is_ready else 503, f"{reason}\n")
+
+    def _configuration(self, version: str | None) -> JsonResponse:
+        store = self._sources.configuration.store
+        wanted = store.head.version
+        if version is not None:
+            if not version.isdigit():
+                return _error(400, "bad-request", "version must be a whole number")
+            wanted = int(version)
+        sections = store.sections_at(wanted)
+        if sections is None:
+            return _error(404, "not-found", f"version {wanted} is not kept here")
+        return JsonResponse(200, {"version": wanted, "sections": sections})
+
+    def _history(self) -> JsonResponse:
+        changes = list(self._sources.configuration.store.changes_by_version.values())
+        rows = [change_row(change) for change in changes[-HISTORY_SHOWN:]]
+        return JsonResponse(200, {"changes": rows})
+
+    def _change(self, request: JsonRequest, change_id: str) -> JsonResponse:
+        configuration = self._sources.configuration
+        match request.method:
+            case "PUT":
+                try:
+                    proposal = read_proposal(change_id, request.body)
+                except ValueError as error:
+                    return _error(400, "bad-request", str(error))
+                return _describe(configuration.propose(proposal))
+            case "GET":
+                decision = configuration.decision(change_id)
+                if decision is None:
+                    return _error(404, "not-found", f"no change {change_id} here")
+                return _describe(decision)
+        return _error(405, "method-not-allowed", request.method)
+
+
+def _describe(decision: Decision) -> JsonResponse:
+    match decision:
+        case Accepted(version):
+            return JsonResponse(200, {"state": "accepted", "version": version})
+        case Clashing(changes):
+            rows = [change_row(change) for change in changes]
+            return JsonResponse(409, {"state": "clashing", "changes": rows})
+        case Refused(findings):
+            found = [finding._asdict() for finding in findings]
+            return JsonResponse(422, {"state": "refused", "findings": found})
+        case Undecided(reason):
+            return JsonResponse(202, {"state": "undecided", "reason": reason})
+
+
+def _error(status: int, code: str, text: str) -> JsonResponse:
+    return JsonResponse(status, {"error": {"code": code, "text": text}})
--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -9,7 +9,8 @@
 from circuits import Component, handler
 from result import Err
 
-from .admin.component import AdminComponent, AdminSources
+from .admin.component import AdminComponent
+from .admin.interface import AdminSources
 from .backends.directory import Directory
 from .backends.messages import Instance
 from .backends.ownership import Vm
