Hold a change against the live fleet before it is accepted

Cause: a change that matches nothing, or lets every instance be ejected, was taken silently. Change: warnings from the VM list refuse a change until an override with a written reason, which the history keeps. Measured: 8 new tests pass.

--- a/src/galenaferry/admin/messages.py
+++ b/src/galenaferry/admin/messages.py
@@ -25,6 +25,7 @@
         author=_text(body, "author"),
         reason=_text(body, "reason"),
         edits=decode_edits(body.get("edits")),
+        override=_text(body, "override") if "override" in body else "",
     )
 
 
--- a/src/galenaferry/configuration/acceptance.py
+++ b/src/galenaferry/configuration/acceptance.py
@@ -27,6 +27,7 @@
     Row,
     Transaction,
 )
+from .impact import LiveFleet, assess
 from .messages import Change, Head, Proposal, encode_change, make_change
 from .state import ConfigurationStore
 
@@ -104,6 +105,8 @@
     proposal : Proposal
     catch_up : callable
         Reads newer changes into the store, then calls its argument.
+    live : callable
+        Gives the live fleet, which a change is held against.
     done : callable
         Called with every decision; the last one is not ``Undecided``.
     """
@@ -115,6 +118,7 @@
         store: ConfigurationStore,
         proposal: Proposal,
         catch_up: Callable[[Callable[[], None]], None],
+        live: Callable[[], LiveFleet],
         done: Callable[[Decision], None],
     ) -> None:
         self._loop = loop
@@ -122,6 +126,7 @@
         self._store = store
         self._proposal = proposal
         self._catch_up = catch_up
+        self._live = live
         self._done = done
         self._gives_up_at: Millis = loop.clock.now() + GIVE_UP_MS
         self._sent: Change | None = None
@@ -164,6 +169,8 @@
             self._done(Clashing(tuple(clashes)))
             return
         findings = store.configuration.check(proposal.edits)
+        if not findings and not proposal.override:
+            findings = assess(store.configuration, proposal.edits, self._live())
         if findings:
             self._done(Refused(tuple(findings)))
             return
--- a/src/galenaferry/configuration/component.py
+++ b/src/galenaferry/configuration/component.py
@@ -26,6 +26,7 @@
 )
 from .document import render
 from .freshness import ConfigurationLease
+from .impact import UNKNOWN_FLEET, LiveFleet
 from .messages import Head, Proposal, decode_change
 from .snapshots import LoadedSnapshot, SnapshotReader, write_snapshot
 from .state import ConfigurationStore
@@ -81,6 +82,7 @@
         self.store = ConfigurationStore()
         self.lease = ConfigurationLease(loop.clock.now())
         self.fleet_size = 1
+        self.live_fleet: Callable[[], LiveFleet] = lambda: UNKNOWN_FLEET
         self.in_force_since: Millis = 0.0
         self._spreader = Spreader(LogName.CONFIGURATION, self.store, peers)
         self._poll()
@@ -107,6 +109,7 @@
             self.store,
             proposal,
             self._catch_up,
+            lambda: self.live_fleet(),
             lambda decision: self._decide(proposal, decision),
         ).begin()
         return undecided
--- /dev/null
+++ b/src/galenaferry/configuration/impact.py
@@ -0,0 +1,85 @@
+"""Warnings of a change against the live fleet, which an operator may override."""
+
+from typing import NamedTuple
+
+from ..findings import Finding
+from .compact import Configuration
+from .document import (
+    DEFAULTS,
+    INSTANCE,
+    ROUTE,
+    SERVICE,
+    ZONE,
+    PolicyException,
+    edited,
+    read_exception,
+)
+from .messages import Edit
+
+
+class LiveFleet(NamedTuple):
+    """What the VM list says; ``is_known`` is False before it was read.
+
+    ``services``, ``zones`` and ``instances`` are those of backend servers.
+    """
+
+    is_known: bool
+    services: frozenset[str]
+    zones: frozenset[str]
+    instances: frozenset[str]
+    vms: int
+
+
+UNKNOWN_FLEET = LiveFleet(False, frozenset(), frozenset(), frozenset(), 0)
+
+
+def assess(
+    configuration: Configuration, edits: tuple[Edit, ...], fleet: LiveFleet
+) -> list[Finding]:
+    """Return the warnings of a change that passes its checks."""
+    if not fleet.is_known:
+        return []
+    touched = {edit.section for edit in edits}
+    before = {name: configuration.section(name) for name in touched}
+    findings: list[Finding] = []
+    for section, keys in edited(before, edits).items():
+        findings += _warn_of_values(section, keys, fleet)
+        if section != DEFAULTS and keys:
+            exception = read_exception(section, keys)
+            text = _warn_of_scope(exception, fleet)
+            if text:
+                findings.append(Finding("proposed", section, "scope", 0, text))
+    return findings
+
+
+def _warn_of_scope(exception: PolicyException, fleet: LiveFleet) -> str:
+    """Return why an exception would match nothing, empty where it matches."""
+    name = exception.scope.name
+    match exception.scope.kind:
+        case "service" if name not in fleet.services:
+            return f"no instance of the {SERVICE} {name} is listed"
+        case "zone" if name not in fleet.zones:
+            return f"no instance in the {ZONE} {name} is listed"
+        case "instance" if name not in fleet.instances:
+            return f"the {INSTANCE} {name} is not listed"
+        case "route":
+            service = exception.service or name.lstrip("/").partition("/")[0]
+            if service not in fleet.services:
+                return f"the {ROUTE} leads to {service}, which has no instance"
+    return ""
+
+
+def _warn_of_values(
+    section: str, keys: dict[str, str], fleet: LiveFleet
+) -> list[Finding]:
+    texts: list[tuple[str, str]] = []
+    match keys.get("floor_percent"):
+        case "100":
+            texts.append(("floor_percent", "no sick instance could be ejected"))
+        case "0":
+            texts.append(("floor_percent", "every instance could be ejected"))
+    connections = keys.get("connections_per_instance")
+    if connections is not None and int(connections) < fleet.vms:
+        text = f"fewer connections than the {fleet.vms} VMs"
+        texts.append(("connections_per_instance", text))
+    return [Finding("proposed", section, key, 0, text) for key, text in texts]
--- a/src/galenaferry/configuration/messages.py
+++ b/src/galenaferry/configuration/messages.py
@@ -18,6 +18,7 @@
 
     ``id`` names the change for good: asking again with the same id never
     applies it twice. ``base`` is the version that the edits were made from.
+    ``override`` is a written reason that lets warnings pass, empty for none.
     """
 
     id: str
@@ -25,6 +26,7 @@
     author: str
     reason: str
     edits: tuple[Edit, ...]
+    override: str = ""
 
 
 class Change(NamedTuple):
@@ -76,13 +78,19 @@
         version=version,
         id=proposal.id,
         author=proposal.author,
-        reason=proposal.reason,
+        reason=_full_reason(proposal),
         accepted_at=accepted_at,
         edits=proposal.edits,
         digest=chain_digest(head.digest, version, proposal.id, proposal.edits),
     )
 
 
+def _full_reason(proposal: Proposal) -> str:
+    if not proposal.override:
+        return proposal.reason
+    return f"{proposal.reason} (overridden: {proposal.override})"
+
+
 def encode_change(change: Change) -> str:
     """Return a change as one line of JSON."""
     return json.dumps(change_row(change), separators=(",", ":"))
--- a/src/galenaferry/configuration/tests/test_acceptance.py
+++ b/src/galenaferry/configuration/tests/test_acceptance.py
@@ -1,5 +1,7 @@
 """Acceptance of proposals by a conditional write: races, lost answers, outages."""
 
+import pytest
+
 from galenaferry.claims.tests.builders import ClaimBench
 from galenaferry.configuration.acceptance import (
     CHANGE_PREFIX,
@@ -9,6 +11,8 @@
     Refused,
     Undecided,
 )
+from galenaferry.configuration.compact import Configuration
+from galenaferry.configuration.impact import UNKNOWN_FLEET, LiveFleet, assess
 from galenaferry.configuration.messages import Edit, Proposal, decode_change
 from galenaferry.configuration.state import ConfigurationStore
 
@@ -19,10 +23,11 @@
     def __init__(self, vms=2):
         super().__init__(vms=0)
         self.stores = [ConfigurationStore() for _ in range(vms)]
+        self.fleet = UNKNOWN_FLEET
 
-    def propose(self, vm, change_id, base, key, value):
+    def propose(self, vm, change_id, base, key, value, section="defaults", override=""):
         proposal = Proposal(
-            change_id, base, "ana", "why", (Edit("defaults", key, value),)
+            change_id, base, "ana", "why", (Edit(section, key, value),), override
         )
         decisions = []
 
@@ -42,6 +47,7 @@
             self.stores[vm],
             proposal,
             catch_up,
+            lambda: self.fleet,
             decisions.append,
         ).begin()
         return decisions
@@ -112,3 +118,56 @@
     bench.platform.is_down = False
     bench.run(2000.0)
     assert decisions[-1] == Accepted(1)
+
+
+FLEET = LiveFleet(
+    True, frozenset({"bookings"}), frozenset({"north"}), frozenset({"10.0.0.1:80"}), 40
+)
+
+
+@pytest.mark.parametrize(
+    ("edits", "text"),
+    [
+        ({"scope": "service tickets"}, "no instance of the service tickets is listed"),
+        ({"scope": "zone moon"}, "no instance in the zone moon is listed"),
+        ({"scope": "instance 10.0.0.9:80"}, "the instance 10.0.0.9:80 is not listed"),
+        (
+            {"scope": "route * /tickets"},
+            "the route leads to tickets, which has no instance",
+        ),
+        (
+            {"scope": "service bookings", "connections_per_instance": "30"},
+            "fewer connections than the 40 VMs",
+        ),
+        (
+            {"scope": "service bookings", "floor_percent": "100"},
+            "no sick instance could be ejected",
+        ),
+        ({"scope": "service bookings"}, None),
+    ],
+)
+def test_a_change_is_held_against_the_live_fleet(edits, text):
+    keys = {"reason": "why", "max_attempts": "2"} | edits
+    wanted = tuple(Edit("exception x", key, value) for key, value in keys.items())
+    findings = assess(Configuration(), wanted, FLEET)
+    assert [finding.text for finding in findings] == ([text] if text else [])
+    assert assess(Configuration(), wanted, UNKNOWN_FLEET) == []
+
+
+def test_a_warning_refuses_until_it_is_overridden_with_a_reason():
+    bench = Operators()
+    bench.fleet = FLEET
+    refused = bench.propose(0, "one", 0, "floor_percent", "100")
+    bench.run(500.0)
+    assert [finding.text for finding in refused[-1].findings] == [
+        "no sick instance could be ejected"
+    ]
+    accepted = bench.propose(
+        0, "two", 0, "floor_percent", "100", override="an audit today"
+    )
+    bench.run(500.0)
+    assert accepted[-1] == Accepted(1)
+    assert (
+        bench.stores[0].changes_by_version[1].reason
+        == "why (overridden: an audit today)"
+    )
--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -16,6 +16,7 @@
 from .backends.ownership import Vm
 from .claims.component import ClaimsComponent
 from .configuration.component import ConfigurationComponent
+from .configuration.impact import LiveFleet
 from .drain.component import DrainComponent
 from .findings import describe
 from .health.component import HealthComponent
@@ -93,6 +94,7 @@
             self.claims,
         )
         self.health.routes = self.context.routes
+        self.configuration.live_fleet = self._live_fleet
         self.health.is_cold = self.directory.is_cold
         self.requests = RequestsComponent(self.context, settings.callers).register(self)
         self.drain = DrainComponent(
@@ -231,6 +233,16 @@
         incarnation = int(self.loop.clock.wall())
         return Member(address, incarnation, 0, settings.zone, settings.region, False, 0)
 
+    def _live_fleet(self) -> LiveFleet:
+        instances = self.membership.vm_list.instances()
+        return LiveFleet(
+            is_known=self.membership.is_list_known,
+            services=frozenset(instance.service for instance in instances),
+            zones=frozenset(instance.zone for instance in instances),
+            instances=frozenset(instance.address for instance in instances),
+            vms=self.membership.fleet_size,
+        )
+
     def _seeds(self) -> tuple[Member, ...]:
         settings = self._settings
         return tuple(
--- a/src/galenaferry/operator/command.py
+++ b/src/galenaferry/operator/command.py
@@ -75,6 +75,7 @@
     apply.add_argument("--author", default=os.environ.get("USER", "operator"))
     apply.add_argument("--reason", required=True)
     apply.add_argument("--base", type=int, help="version the file was made from")
+    apply.add_argument("--override", help="written reason to pass over warnings")
     apply.add_argument("--id", help="id of the change, to ask again")
     apply.set_defaults(run=_apply)
     for name, run, text in (
@@ -121,6 +122,8 @@
         "reason": options.reason,
         "edits": [list(edit) for edit in edits],
     }
+    if options.override:
+        body["override"] = options.override
     answer = _wait_for_decision(options, change_id, body)
     return _report_decision(options, change_id, answer)
 
