Believe an instance that says it drains

Cause: the VM list lags, and every VM had to be shed to learn that an instance leaves. Change: Galenaferry-Draining on an answer takes the instance out of new work at that VM for 30 s; owners of slots are computed without it. A fault found by the new test: owners stayed without the instance after the 30 s.

--- a/src/galenaferry/backends/directory.py
+++ b/src/galenaferry/backends/directory.py
@@ -26,6 +26,7 @@
 CONNECTION_RESERVE: Final = 0.9
 SLOT_OVERCOMMIT: Final = 4
 CACHE_MS: Final = 200.0
+DRAINING_MS: Final = 30_000.0
 
 
 class Weights(Protocol):
@@ -57,6 +58,7 @@
         self._cache_by_service: dict[str, tuple[Millis, Candidates]] = {}
         self._first_seen_by_address: dict[str, Millis] = {}
         self._is_first_list = True
+        self._draining_until: dict[str, Millis] = {}
         self.by_service: dict[str, tuple[Instance, ...]] = {}
         self.pool_by_address: dict[str, InstancePool] = {}
         self.live_vms = 1
@@ -77,6 +79,9 @@
             start = -float("inf") if self._is_first_list else now
             seen[instance.address] = known.get(instance.address, start)
         self._first_seen_by_address = seen
+        gone = self._draining_until.keys() - seen.keys()
+        for address in gone:
+            del self._draining_until[address]
         self._is_first_list = False
         self.by_service = {name: tuple(rows) for name, rows in by_service.items()}
         self.forget_cache()
@@ -89,6 +94,13 @@
             self._vms = vms
             self._owned_by_service.clear()
 
+    def note_draining(self, address: str) -> None:
+        """Send an instance nothing new for a while, since it says that it drains."""
+        if self._loop.clock.now() >= self._draining_until.get(address, 0.0):
+            self.forget_cache()
+            self._loop.after(DRAINING_MS + CACHE_MS, self.forget_cache)
+        self._draining_until[address] = self._loop.clock.now() + DRAINING_MS
+
     def forget_cache(self) -> None:
         """Recompute candidates at their next use."""
         self._cache_by_service.clear()
@@ -132,7 +144,8 @@
     def _owned(self, service: str, policy: Policy) -> dict[str, int]:
         owned = self._owned_by_service.get(service)
         if owned is None:
-            present = [i for i in self.by_service.get(service, ()) if not i.is_leaving]
+            listed = self.by_service.get(service, ())
+            present = [i for i in listed if not self._is_leaving(i)]
             slots = policy.slots_per_instance
             owned = owned_slots(self._me, self._vms, service, present, slots)
             self._owned_by_service[service] = owned
@@ -165,6 +178,11 @@
         """Whether an instance is still within its cold start."""
         return self._age(instance) < policy.cold_start_ms
 
+    def _is_leaving(self, instance: Instance) -> bool:
+        """Whether the list or the instance itself says that it leaves."""
+        until = self._draining_until.get(instance.address, 0.0)
+        return instance.is_leaving or self._loop.clock.now() < until
+
     def _age(self, instance: Instance) -> Millis:
         first = self._first_seen_by_address.get(instance.address, 0.0)
         return self._loop.clock.now() - first
@@ -184,7 +202,7 @@
         remote: list[Candidate] = []
         for instance in instances:
             weight = weight_by_address.get(instance.address, 0.0)
-            if weight <= 0.0 or instance.is_leaving:
+            if weight <= 0.0 or self._is_leaving(instance):
                 continue
             weight *= cold_weight(self._age(instance), policy.cold_start_ms)
             group = local if instance.zone == self.zone else remote
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -37,6 +37,7 @@
 from .context import RequestContext
 from .messages import (
     ATTEMPT,
+    DRAINING,
     IDEMPOTENCY_KEY,
     RAN,
     REASON,
@@ -284,6 +285,8 @@
         """Pass the head on, or give the response up for another attempt."""
         is_certified = head.header(RAN) == Ran.NOT_RUN.value.encode()
         ending = classify_status(head.status, is_certified)
+        if head.header(DRAINING) is not None and self._instance is not None:
+            self._context.directory.note_draining(self._instance.address)
         verdict = judge(ending)
         self._settle(verdict)
         if self._may_retry(verdict):
--- a/src/galenaferry/requests/messages.py
+++ b/src/galenaferry/requests/messages.py
@@ -5,6 +5,7 @@
 
 RAN: Final = b"galenaferry-ran"
 TIME_LEFT: Final = b"galenaferry-time-left-ms"
+DRAINING: Final = b"galenaferry-draining"
 ATTEMPT: Final = b"galenaferry-attempt"
 REASON: Final = b"galenaferry-reason"
 REQUEST_ID: Final = b"x-request-id"
--- a/src/galenaferry/stand_ins/backend.py
+++ b/src/galenaferry/stand_ins/backend.py
@@ -24,6 +24,7 @@
 
 LIMITS: Final = RequestLimits(head_bytes=65_536, body_bytes=1 << 40)
 BLOCK: Final = bytes(65_536)
+DRAINING: Final = (b"galenaferry-draining", b"1")
 NOT_RUN: Final = (b"galenaferry-ran", b"not-run")
 
 
@@ -91,7 +92,8 @@
         state, mode = self._state, self._state.mode
         if state.must_shed():
             state.counters.shed += 1
-            self._answer(503, b"busy\n", (NOT_RUN,))
+            extra = (NOT_RUN, DRAINING) if mode.is_draining else (NOT_RUN,)
+            self._answer(503, b"busy\n", extra)
             return
         state.execute((head.header(b"x-booking-id") or b"").decode())
         if state.happens(mode.silent_part):
