--- a/src/galenaferry/membership/component.py
+++ b/src/galenaferry/membership/component.py
@@ -43,7 +43,8 @@
         Sends a message to a VM.
     describe : callable
     on_instances : callable
-        Called with the instances after the VM list has changed.
+        Called with the instances after the VM list has changed. After the first
+        call ``is_list_known`` is True.
     """
 
     channel = "membership"
@@ -68,6 +69,7 @@
         self._on_instances = on_instances
         self._listed: frozenset[str] = frozenset()
         self._is_apply_due = False
+        self.is_list_known = False
         self.table = MemberTable(me, random)
         self.table.hint(seeds, loop.clock.now())
         self.vm_list = VmListLog()
@@ -75,11 +77,6 @@
         loop.every(HEARTBEAT_MS, self._beat)
         self._poll()
 
-    @property
-    def is_list_known(self) -> bool:
-        """Whether any VM list is known."""
-        return self.vm_list.version > 0
-
     @property
     def fleet_size(self) -> int:
         """Number of VMs that are listed or live, this one included."""
@@ -173,6 +170,7 @@
         self._listed = frozenset(member.address for member in entries)
         self.table.hint(entries, self._loop.clock.now())
         self._on_instances(self.vm_list.instances())
+        self.is_list_known = True
 
     def _send_all(self, sends: list[Send]) -> None:
         for send in sends:
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -127,6 +127,7 @@
         "_context",
         "_deadline",
         "_deadline_timer",
+        "_deadline_total",
         "_instance",
         "_is_borrowed",
         "_is_continue_owed",
@@ -139,6 +140,7 @@
         "_shed_at",
         "_sheds",
         "_sink",
+        "_size_at_deadline",
         "_tried",
         "body",
         "head",
@@ -170,6 +172,8 @@
         self._borrow_decided_at: Millis = -BORROW_INTERVAL_MS
         self._is_continue_owed = head.expects_continue
         self._deadline: Millis = 0.0
+        self._deadline_total: Millis = 0.0
+        self._size_at_deadline = 0
         self._deadline_timer: Timer | None = None
         self._request_id = head.header(REQUEST_ID) or b"%032x" % (
             context.random.getrandbits(128)
@@ -188,6 +192,7 @@
             return
         self._route = route
         total = self._total_time(route)
+        self._deadline_total = total
         self._deadline = context.loop.clock.now() + total
         self._deadline_timer = context.loop.after(total, self._on_deadline)
         context.budget(route.service).earn(route.policy.retry_budget_percent)
@@ -556,12 +561,22 @@
     def _on_deadline(self) -> None:
         if self.is_over or self.is_answer_started:
             return
+        if self._is_upload_going_on():
+            self._size_at_deadline = self.body.size
+            total = self._deadline_total
+            self._deadline_timer = self._context.loop.after(total, self._on_deadline)
+            return
         if self._attempt is not None and not self._attempt.is_over:
             self._attempt.abandon()
             self._ran = Ran.UNKNOWN
         status = 503 if self._ran is Ran.NOT_RUN else 504
         self.refuse(status, "the time for the request is over")
 
+    def _is_upload_going_on(self) -> bool:
+        """Whether the caller still sends a body, and has since the last look."""
+        has_grown = self.body.size > self._size_at_deadline
+        return has_grown and not self.body.is_complete
+
     def _close(self) -> None:
         self.is_over = True
         self._is_waiting = False
--- a/src/galenaferry/requests/tests/test_exchange.py
+++ b/src/galenaferry/requests/tests/test_exchange.py
@@ -244,3 +244,23 @@
     for number in range(30):
         bench.caller().post(f"/bookings/{number}").answers()
     assert bench.backends[0].state.counters.executed > 0
+
+
+def test_a_long_upload_outlives_the_total_time_while_it_goes_on():
+    bench = Bench("[defaults]\ntotal_timeout_ms = 1000\n", modes=[healthy()])
+    caller = bench.caller()
+    caller.send(b"POST /bookings/x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n")
+    for _ in range(10):
+        bench.run_for(400.0, caller)
+        caller.send(b"x")
+    assert caller.answers()[0][2] == b"POST /bookings/x 10\n"
+
+
+def test_an_upload_that_stops_is_ended_by_the_total_time():
+    bench = Bench("[defaults]\ntotal_timeout_ms = 1000\n", modes=[healthy()])
+    caller = bench.caller()
+    caller.send(
+        b"POST /bookings/x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc"
+    )
+    status, headers, _ = caller.answers()[0]
+    assert (status, headers["connection"], bench.executions()) == (504, "close", 0)
