Tell unknown once a byte has left, and take the exchange apart

Cause: a request whose body broke, or whose total time ended, after a part had been sent was called not-run by refuse(), found while reading exchange.py (591 lines). A share of slots never exceeds the slots (found by the new test).

--- a/src/galenaferry/backends/directory.py
+++ b/src/galenaferry/backends/directory.py
@@ -157,7 +157,7 @@
         slots = policy.slots_per_instance * SLOT_OVERCOMMIT / self.live_vms
         return Shares(
             connections=max(1, int(usable / self.live_vms)),
-            slots=max(2, min(policy.slots_per_instance, int(slots + 0.5))),
+            slots=min(policy.slots_per_instance, max(2, int(slots + 0.5))),
         )
 
     def pool(self, instance: Instance) -> InstancePool:
--- a/src/galenaferry/requests/attempt.py
+++ b/src/galenaferry/requests/attempt.py
@@ -98,6 +98,11 @@
         """Whether the attempt has given its connection back."""
         return self._is_done
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether a byte of the request could have left."""
+        return self._connection.has_sent
+
     def start(
         self, head: bytes, body: RequestBody, is_chunked: bool, is_head: bool
     ) -> None:
--- /dev/null
+++ b/src/galenaferry/requests/keyed.py
@@ -0,0 +1,51 @@
+"""Requests with an idempotency key: their names and refusals."""
+
+from random import Random
+from typing import NamedTuple
+
+from ..attempts.messages import Ran
+from ..claims.handle import row_key
+from ..claims.messages import (
+    ClaimOutcome,
+    KeyedRequest,
+    Mismatched,
+    Unavailable,
+    Untold,
+)
+from ..framing.messages import RequestHead
+from ..routing.table import Route
+
+
+class Refusal(NamedTuple):
+    """Why a keyed request is not run, and whether it ran before."""
+
+    status: int
+    reason: str
+    ran: Ran
+
+
+def keyed_request(
+    head: RequestHead, route: Route, key: bytes, random: Random
+) -> KeyedRequest:
+    """Return the names of a request's claim."""
+    authorization = head.header(b"authorization") or b""
+    return KeyedRequest(
+        row_key=row_key(route.service, authorization, key),
+        owner=f"{random.getrandbits(128):032x}",
+        request=f"{head.method.decode()} {head.target.decode('latin-1')}",
+    )
+
+
+def refusal_of(outcome: ClaimOutcome) -> Refusal | None:
+    """Return the refusal that an outcome calls for, if it does."""
+    match outcome:
+        case Untold():
+            reason = "the key was used and its outcome is not known"
+            return Refusal(409, reason, Ran.UNKNOWN)
+        case Mismatched():
+            reason = "the key belongs to another request"
+            return Refusal(422, reason, Ran.NOT_RUN)
+        case Unavailable():
+            return Refusal(503, "claims can't be recorded now", Ran.NOT_RUN)
+        case _:
+            return None
--- a/src/galenaferry/requests/messages.py
+++ b/src/galenaferry/requests/messages.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from ..attempts.messages import Ran
+
 RAN: Final = b"galenaferry-ran"
 TIME_LEFT: Final = b"galenaferry-time-left-ms"
 DRAINING: Final = b"galenaferry-draining"
@@ -31,6 +33,13 @@
     queued: int = 0
     by_status: dict[int, int] = field(default_factory=dict)
 
+    def count_refusal(self, ran: Ran) -> None:
+        """Count an answer without the work of a backend server."""
+        if ran is Ran.NOT_RUN:
+            self.refused_not_run += 1
+        else:
+            self.ended_unknown += 1
+
     def count_status(self, status: int) -> None:
         """Count an answer by its status."""
         self.by_status[status] = self.by_status.get(status, 0) + 1
--- /dev/null
+++ b/src/galenaferry/requests/settling.py
@@ -0,0 +1,47 @@
+"""What the end of an attempt tells of the instance, its pool and its slots."""
+
+from typing import NamedTuple
+
+from ..attempts.messages import Evidence, Verdict
+from ..backends.messages import Instance, Shares
+from ..clock import Millis
+from ..routing.table import Route
+from .admission import Admission
+from .context import RequestContext
+
+
+class SentAttempt(NamedTuple):
+    """An attempt that was made; ``started`` is in milliseconds."""
+
+    route: Route
+    instance: Instance
+    shares: Shares
+    target: bytes
+    started: Millis
+
+
+def settle(
+    context: RequestContext, sent: SentAttempt, admission: Admission, verdict: Verdict
+) -> None:
+    """Record what an attempt proved of its instance."""
+    pool = context.directory.pool(sent.instance)
+    borrowing = context.directory.borrowing(sent.route.service)
+    now = context.loop.clock.now()
+    if verdict.evidence is Evidence.SHED:
+        context.counters.shed += 1
+        admission.on_shed(now)
+        pool.on_shed(admission.is_borrowed, context.random)
+        if admission.is_borrowed:
+            borrowing.on_shed()
+    elif verdict.evidence is Evidence.SUCCESS:
+        pool.on_answer(sent.shares)
+        if admission.is_borrowed:
+            borrowing.on_answer()
+    context.observer.observe(
+        sent.route.service,
+        sent.instance.address,
+        sent.route.name,
+        sent.target,
+        verdict.evidence,
+        now - sent.started,
+    )
--- a/src/galenaferry/requests/tests/test_exchange.py
+++ b/src/galenaferry/requests/tests/test_exchange.py
@@ -264,3 +264,33 @@
     )
     status, headers, _ = caller.answers()[0]
     assert (status, headers["connection"], bench.executions()) == (504, "close", 0)
+
+
+def test_a_body_that_breaks_after_a_part_was_sent_is_unknown():
+    bench = Bench(modes=[healthy()])
+    caller = bench.caller()
+    caller.send(
+        b"POST /bookings/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+    )
+    bench.run_for(50.0, caller)
+    caller.send(b"zz\r\n")
+    status, headers, _ = caller.answers()[0]
+    assert (status, headers["galenaferry-ran"]) == (400, "unknown")
+
+
+def test_a_deadline_before_any_byte_left_is_not_run():
+    bench = Bench(
+        "[defaults]\nqueue_limit = 9\nslots_per_instance = 1\n",
+        modes=[faulty(slow_factor=200.0)],
+    )
+    first = bench.caller().post("/bookings/a")
+    bench.run(lambda: bench.executions() == 1, first)
+    second = bench.caller().post(
+        "/bookings/b", headers="Galenaferry-Time-Left-Ms: 300\r\n"
+    )
+    status, headers, _ = second.answers()[0]
+    assert (status, headers["galenaferry-ran"], bench.executions()) == (
+        503,
+        "not-run",
+        1,
+    )
