--- a/src/galenaferry/health/reporter.py
+++ b/src/galenaferry/health/reporter.py
@@ -10,6 +10,7 @@
 DATAGRAMS_PER_SECOND: Final = 40.0
 BURST_DATAGRAMS: Final = 20.0
 COUNTS_PER_REPORT: Final = 32
+COPIES_OF_FAILURES: Final = 2
 
 
 class Addressed(NamedTuple):
@@ -33,8 +34,9 @@
 class Reporter:
     """Collects changed totals by service and sends them to its homes.
 
-    Failures go first, then what has waited longest. Totals are cumulative, so
-    what the budget delays is not lost.
+    Failures go first, and twice: a lost report would make the errors of one
+    moment look like errors of several. Then goes what has waited longest. Totals
+    are cumulative, so that what the budget delays is not lost.
     """
 
     def __init__(self, evidence: LocalEvidence, homes_of: HomesOf) -> None:
@@ -68,12 +70,16 @@
             key=lambda item: (not item[1].has_failure, item[1].since),
         )
         addresses_by_home: dict[str, list[str]] = {}
+        failing_homes: set[str] = set()
         for service, pending in order:
             homes = self._homes_of(service)
             fresh = [home for home in homes if home not in addresses_by_home]
-            if len(fresh) > self._tokens:
+            copies = COPIES_OF_FAILURES if pending.has_failure else 1
+            if len(fresh) * copies > self._tokens:
                 continue
-            self._tokens -= len(fresh)
+            self._tokens -= len(fresh) * copies
+            if pending.has_failure:
+                failing_homes.update(homes)
             del self._pending_by_service[service]
             for home in homes:
                 addresses_by_home.setdefault(home, []).extend(pending.addresses)
@@ -81,6 +87,7 @@
             Addressed(home, report)
             for home, addresses in addresses_by_home.items()
             for report in self._reports(addresses)
+            for _ in range(COPIES_OF_FAILURES if home in failing_homes else 1)
         ]
 
     def _reports(self, addresses: list[str]) -> list[Report]:
