Spare bookings from instances on trial; keep the retry budget strict

Cause: with everything failing the load was 1.103 times the callers' (target 1.1): 40 new budgets each started with two tokens of their own. Instances in probation or cold got no work at VMs that own slots elsewhere, and bookings went to those in probation. Change: the tokens of a new budget are an advance that its first requests pay back; own slots are chosen by weight; work that may not repeat goes to no instance on trial while the service has had other work within a minute. Ruled out: a budget that starts empty (a new VM could not retry its first query; 8 tests failed).

--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -20,7 +20,7 @@
 import numpy as np
 
 from galenaferry.attempts.messages import Evidence
-from galenaferry.backends.directory import Directory
+from galenaferry.backends.directory import Directory, Standing
 from galenaferry.backends.messages import Instance
 from galenaferry.clock import FakeClock
 from galenaferry.configuration.compact import Configuration
@@ -181,8 +181,8 @@
     book = HealthBook()
 
     class Weights:
-        def weights(self, service, instances, policy):
-            return {instance.address: 1.0 for instance in instances}
+        def standing(self, service, instances, policy):
+            return Standing({i.address: 1.0 for i in instances}, frozenset())
 
     directory = Directory(Loop(FakeClock(1.0)), "zone-0", Weights(), Random(1))
     directory.replace(make_instances(count))
--- a/benches/requests.py
+++ b/benches/requests.py
@@ -14,7 +14,7 @@
 
 from galenaferry.attempts.budget import RetryBudget
 from galenaferry.backends.choice import Chosen, Nothing
-from galenaferry.backends.directory import Directory
+from galenaferry.backends.directory import Directory, Standing
 from galenaferry.backends.messages import Instance
 from galenaferry.backends.ownership import Vm
 from galenaferry.clock import FakeClock
@@ -36,8 +36,8 @@
 
 
 class EqualWeights:
-    def weights(self, service, instances, policy):
-        return {instance.address: 1.0 for instance in instances}
+    def standing(self, service, instances, policy):
+        return Standing({i.address: 1.0 for i in instances}, frozenset())
 
 
 class NoObserver:
@@ -50,7 +50,7 @@
 
     turn = 0
 
-    def choose(self, service, tried, policy, shares, may_borrow):
+    def choose(self, service, tried, policy, shares, may_borrow, is_repeatable):
         instances = self.by_service.get(service, ())
         for _ in instances:
             PlainDirectory.turn += 1
--- a/src/galenaferry/attempts/budget.py
+++ b/src/galenaferry/attempts/budget.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-SMALLEST_RESERVE: Final = 2.0
+ADVANCE: Final = 2.0
 LARGEST_RESERVE: Final = 50.0
 
 
@@ -10,15 +10,21 @@
     """Tokens earned by requests and spent by further attempts.
 
     Every request earns ``percent`` hundredths of a token. Since every VM keeps
-    to it, the offered load of the fleet stays within the same percentage.
+    to it, the offered load of the fleet stays within the same percentage. A new
+    budget holds an advance, which its first requests pay back.
     """
 
     def __init__(self) -> None:
-        self._tokens = SMALLEST_RESERVE
+        self._tokens = ADVANCE
+        self._debt = ADVANCE
 
     def earn(self, percent: int) -> None:
         """Count one request of a caller."""
-        self._tokens = min(LARGEST_RESERVE, self._tokens + percent / 100.0)
+        earned = percent / 100.0
+        if self._debt > 0.0:
+            self._debt -= earned
+            return
+        self._tokens = min(LARGEST_RESERVE, self._tokens + earned)
 
     def is_spent(self) -> bool:
         """Whether no further attempt is allowed now."""
--- a/src/galenaferry/attempts/tests/test_outcomes.py
+++ b/src/galenaferry/attempts/tests/test_outcomes.py
@@ -83,4 +83,4 @@
         offered += 1
         while budget.spend():
             offered += 1
-    assert offered <= 1.1 * 10_000 + 2
+    assert offered <= 1.1 * 10_000
--- a/src/galenaferry/backends/choice.py
+++ b/src/galenaferry/backends/choice.py
@@ -86,7 +86,7 @@
     free = []
     for candidate in candidates.local + candidates.remote:
         slots = owned.get(candidate.instance.address, 0)
-        if not slots or candidate.weight < 1.0:
+        if not slots or random.random() >= candidate.weight:
             continue
         load = load_of(candidate.instance)
         if load.in_flight < slots and load.paused_until <= now:
--- a/src/galenaferry/backends/directory.py
+++ b/src/galenaferry/backends/directory.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import Final, Protocol
+from typing import Final, NamedTuple, Protocol
 
 from ..clock import Millis
 from ..configuration.policy import Policy
@@ -26,16 +26,28 @@
 CONNECTION_RESERVE: Final = 0.9
 SLOT_OVERCOMMIT: Final = 4
 CACHE_MS: Final = 200.0
+REPEATABLE_SPAN_MS: Final = 60_000.0
 DRAINING_MS: Final = 30_000.0
 
 
+class Standing(NamedTuple):
+    """Health of the instances of a service, by address.
+
+    ``weights`` of 0 get no work. Those ``on_trial`` come back from sickness and
+    get work that may be repeated, as long as there is some.
+    """
+
+    weights: dict[str, float]
+    on_trial: frozenset[str]
+
+
 class Weights(Protocol):
-    """Source of the health weights of a service's instances."""
+    """Source of the health of a service's instances."""
 
-    def weights(
+    def standing(
         self, service: str, instances: tuple[Instance, ...], policy: Policy
-    ) -> dict[str, float]:
-        """Return the weight of every instance by address; 0 gets no work."""
+    ) -> Standing:
+        """Return the weights of all instances and which are on trial."""
 
 
 class Directory:
@@ -55,7 +67,8 @@
         self.zone = zone
         self._weights = weights
         self._random = random
-        self._cache_by_service: dict[str, tuple[Millis, Candidates]] = {}
+        self._cache: dict[tuple[str, bool], tuple[Millis, Candidates]] = {}
+        self._repeatable_seen_at: dict[str, Millis] = {}
         self._first_seen_by_address: dict[str, Millis] = {}
         self._is_first_list = True
         self._draining_until: dict[str, Millis] = {}
@@ -103,7 +116,7 @@
 
     def forget_cache(self) -> None:
         """Recompute candidates at their next use."""
-        self._cache_by_service.clear()
+        self._cache.clear()
         self._owned_by_service.clear()
 
     def borrowing(self, service: str) -> Borrowing:
@@ -120,14 +133,18 @@
         policy: Policy,
         shares: Shares,
         may_borrow: bool,
+        is_repeatable: bool,
     ) -> Choice:
         """Return the choice for the next attempt of a request.
 
         Without ``may_borrow`` a request waits for a slot that this VM owns,
-        if it owns any.
+        if it owns any. One that is not ``is_repeatable`` goes to no instance on
+        trial, unless the service has had no other work for a minute.
         """
         now = self._loop.clock.now()
-        candidates = self._candidates(service, policy, now)
+        if is_repeatable:
+            self._repeatable_seen_at[service] = now
+        candidates = self._candidates(service, policy, is_repeatable, now)
 
         def load_of(instance: Instance) -> Load:
             return self.pool(instance).load(shares)
@@ -187,23 +204,33 @@
         first = self._first_seen_by_address.get(instance.address, 0.0)
         return self._loop.clock.now() - first
 
-    def _candidates(self, service: str, policy: Policy, now: Millis) -> Candidates:
-        cached = self._cache_by_service.get(service)
+    def _candidates(
+        self, service: str, policy: Policy, is_repeatable: bool, now: Millis
+    ) -> Candidates:
+        cached = self._cache.get((service, is_repeatable))
         if cached is not None and cached[0] > now:
             return cached[1]
-        candidates = self._build_candidates(service, policy)
-        self._cache_by_service[service] = (now + CACHE_MS, candidates)
+        seen_at = self._repeatable_seen_at.get(service, -REPEATABLE_SPAN_MS)
+        has_other_work = now - seen_at < REPEATABLE_SPAN_MS
+        is_spared = not is_repeatable and has_other_work
+        candidates = self._build_candidates(service, policy, is_spared)
+        self._cache[service, is_repeatable] = (now + CACHE_MS, candidates)
         return candidates
 
-    def _build_candidates(self, service: str, policy: Policy) -> Candidates:
+    def _build_candidates(
+        self, service: str, policy: Policy, is_spared: bool
+    ) -> Candidates:
+        """Return the candidates, for spared work without those on trial."""
         instances = self.by_service.get(service, ())
-        weight_by_address = self._weights.weights(service, instances, policy)
+        standing = self._weights.standing(service, instances, policy)
         local: list[Candidate] = []
         remote: list[Candidate] = []
         for instance in instances:
-            weight = weight_by_address.get(instance.address, 0.0)
+            weight = standing.weights.get(instance.address, 0.0)
             if weight <= 0.0 or self._is_leaving(instance):
                 continue
+            if is_spared and instance.address in standing.on_trial:
+                continue
             weight *= cold_weight(self._age(instance), policy.cold_start_ms)
             group = local if instance.zone == self.zone else remote
             group.append(Candidate(instance, weight))
--- a/src/galenaferry/health/component.py
+++ b/src/galenaferry/health/component.py
@@ -6,6 +6,7 @@
 from circuits import BaseComponent
 
 from ..attempts.messages import Evidence
+from ..backends.directory import Standing
 from ..backends.messages import Instance
 from ..clock import Millis
 from ..configuration.policy import Policy
@@ -101,14 +102,14 @@
         if evidence is Evidence.SUCCESS or is_failure:
             self._reporter.mark(service, address, is_failure, now)
 
-    def weights(
+    def standing(
         self, service: str, instances: tuple[Instance, ...], policy: Policy
-    ) -> dict[str, float]:
-        """Return the weight of every instance by address."""
+    ) -> Standing:
+        """Return the weights of all instances and which are on trial."""
         cold = frozenset(i.address for i in instances if self.is_cold(i, policy))
         now = self._loop.clock.now()
         admission = self.book.admit(service, instances, cold, policy, now)
-        return admission.weight_by_address
+        return Standing(admission.weight_by_address, admission.on_trial)
 
     def on_report(self, sender: Member, report: Report) -> None:
         """Merge the evidence of another VM."""
--- a/src/galenaferry/health/floor.py
+++ b/src/galenaferry/health/floor.py
@@ -37,10 +37,14 @@
 
 
 class Admission(NamedTuple):
-    """Weights by address; ``is_bound`` tells that the floor admitted some."""
+    """Weights by address; ``is_bound`` tells that the floor admitted some.
+
+    ``on_trial`` are the addresses in probation that the floor has not admitted.
+    """
 
     weight_by_address: dict[str, float]
     is_bound: bool
+    on_trial: frozenset[str]
 
 
 def admit(conditions: Sequence[Condition], floor_percent: int) -> Admission:
@@ -67,4 +71,6 @@
     admitted = left_out[: max(0, needed - capacity)]
     for condition in admitted:
         weights[condition.address] = FULL_WEIGHT
-    return Admission(weights, bool(admitted))
+    trials = {c.address for c in left_out if c.rank is Rank.PROBATION}
+    trials.difference_update(condition.address for condition in admitted)
+    return Admission(weights, bool(admitted), frozenset(trials))
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -281,7 +281,12 @@
             context.random,
         )
         choice = directory.choose(
-            route.service, self._tried, route.policy, self._shares, may_borrow
+            route.service,
+            self._tried,
+            route.policy,
+            self._shares,
+            may_borrow,
+            route.is_idempotent,
         )
         match choice:
             case Chosen(instance, is_borrowed):
--- a/src/galenaferry/requests/tests/builders.py
+++ b/src/galenaferry/requests/tests/builders.py
@@ -5,7 +5,7 @@
 
 from circuits import Component
 
-from galenaferry.backends.directory import Directory
+from galenaferry.backends.directory import Directory, Standing
 from galenaferry.backends.messages import Instance
 from galenaferry.clock import FakeClock
 from galenaferry.configuration.compact import Configuration
@@ -26,8 +26,8 @@
 class EqualWeights:
     """Health that admits every instance in full."""
 
-    def weights(self, service, instances, policy):
-        return {instance.address: 1.0 for instance in instances}
+    def standing(self, service, instances, policy):
+        return Standing({i.address: 1.0 for i in instances}, frozenset())
 
 
 class RecordingObserver:
