--- a/src/galenaferry/demo/fleet.py
+++ b/src/galenaferry/demo/fleet.py
@@ -2,12 +2,14 @@
 
 import http.client
 import json
+import os
 import signal
 import socket
 import subprocess
 import sys
 import time
 from contextlib import suppress
+from itertools import cycle
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
@@ -15,6 +17,10 @@
 PEER_KEY: Final = "demo-peer-key-of-the-fleet"
 START_SECONDS: Final = 20.0
 STOP_SECONDS: Final = 20.0
+LOWEST_PORT: Final = 12_000
+HIGHEST_PORT: Final = 32_000
+PORT_SPAN: Final = 18_000
+PORTS_PER_RUN: Final = 200
 SETTINGS: Final = """[vm]
 name = {name}
 zone = {zone}
@@ -50,16 +56,34 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [int(sock.getsockname()[1]) for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return ports that nothing listens on now.
+
+    They lie below the range that the system takes for outgoing connections, one
+    of which could otherwise take a port before its process listens on it.
+    """
+    ports = []
+    while len(ports) < count:
+        port = next(_candidates)
+        if _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
+_candidates = cycle(
+    range(LOWEST_PORT + os.getpid() * PORTS_PER_RUN % PORT_SPAN, HIGHEST_PORT)
+)
+
+
 def ask(port: int, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
     """Send one request to the loopback address and return status and body."""
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
