--- a/src/galenaferry/demo/fleet.py
+++ b/src/galenaferry/demo/fleet.py
@@ -61,7 +61,7 @@
     They lie below the range that the system takes for outgoing connections, one
     of which could otherwise take a port before its process listens on it.
     """
-    ports = []
+    ports: list[int] = []
     while len(ports) < count:
         port = next(_candidates)
         if _is_free(port):
