Attest an outage of the platform by hearsay, one vote a region

Cause: with the platform down for 25 s only 27 of 40 VMs stayed ready: a VM counted those who told it directly within 5 s, some 21 of 39 at three random heartbeats each half second, and at 4,800 VMs it never could hear half of the fleet. Change: the word travels in each member's entry; the own region decides by its listed VMs, other regions by those in view, regions by majority; a region once heard of keeps its vote, so that a part that is cut off does not become a majority by forgetting.

--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -344,7 +344,7 @@
     proposal = Proposal("f" * 36, 1, "operator", "a written reason", (edit,))
     change = make_change(Head(1, "d" * 32), proposal, 1764806400000.0)
     messages = {
-        "heartbeat": Heartbeat(9, "d" * 32, Freshness(900, False), 9, sample),
+        "heartbeat": Heartbeat(9, "d" * 32, Freshness(900), 9, sample),
         "report of 2 counts": Report(rows),
         "push of 1 change": Push(LogName.CONFIGURATION, (encode_change(change),)),
     }
@@ -366,7 +366,7 @@
     heard = iter(range(2, 10**9))
 
     def beat() -> None:
-        table.beat(1)
+        table.beat(1, False)
         table.forget(100.0)
         table.sample(100.0)
         table.targets(3, 100.0)
--- a/benches/spreading.py
+++ b/benches/spreading.py
@@ -76,7 +76,7 @@
         self.changes = []
         self.adopted_at: dict[int, list[float]] = {}
         sample = tuple([ME] * min(SAMPLE_SIZE, setting.nodes))
-        beat = Heartbeat(9, "d" * 32, Freshness(100, False), 9, sample)
+        beat = Heartbeat(9, "d" * 32, Freshness(100), 9, sample)
         self.heartbeat_bytes = len(encode(Datagram(ME, beat), KEYS)) + HEADER_BYTES
         self.pull_bytes = (
             len(encode(Datagram(ME, Pull(LogName.CONFIGURATION, 9)), KEYS))
--- a/src/galenaferry/configuration/component.py
+++ b/src/galenaferry/configuration/component.py
@@ -80,19 +80,18 @@
         self._decision_by_id: dict[str, Decision] = {}
         self.alarms: list[str] = []
         self.store = ConfigurationStore()
-        self.lease = ConfigurationLease(loop.clock.now())
+        self.lease = ConfigurationLease()
         self.fleet_size = 1
+        self.is_outage_attested: Callable[[], bool] = lambda: False
         self.live_fleet: Callable[[], LiveFleet] = lambda: UNKNOWN_FLEET
         self.in_force_since: Millis = 0.0
         self._spreader = Spreader(LogName.CONFIGURATION, self.store, peers)
         self._poll()
 
-    @property
-    def is_loaded(self) -> bool:
-        """Whether any state of the table is known, an empty one included."""
-        return self.store.head.version > 0 or self.lease.is_held(
-            self._loop.clock.now(), self.fleet_size
-        )
+    def is_lease_held(self) -> bool:
+        """Whether callers may be taken with the configuration in force."""
+        now = self._loop.clock.now()
+        return self.lease.is_held(now, self.is_outage_attested())
 
     def propose(self, proposal: Proposal) -> Decision:
         """Start to accept a proposal, or tell what has become of it."""
@@ -140,7 +139,7 @@
             "digest": self.store.head.digest,
             "in_force_for_ms": int(now - self.in_force_since),
             "freshness": self.lease.freshness(now)._asdict(),
-            "is_lease_held": self.lease.is_held(now, self.fleet_size),
+            "is_lease_held": self.is_lease_held(),
             "alarms": self.alarms[-10:],
             "sections": len(self.store.configuration),
             "text": self._text(),
--- a/src/galenaferry/configuration/freshness.py
+++ b/src/galenaferry/configuration/freshness.py
@@ -3,8 +3,8 @@
 A change is accepted only by a write to the platform's table. A VM that knows of
 a recent read of the table can't have missed an accepted change for longer than
 that read is old. Where nobody can read the table nobody can accept a change
-either: a VM that hears more than half of the fleet say so goes on too. A VM
-that knows neither stops taking callers until it hears again.
+either: a VM that hears most of the fleet say so goes on too. A VM that knows
+neither stops taking callers until it hears again.
 """
 
 from typing import Final
@@ -13,64 +13,43 @@
 from ..membership.messages import Freshness
 
 LEASE_MS: Final = 10_000.0
-ATTESTATION_MS: Final = 5_000.0
 NEVER: Final = -1e12
+LARGEST_AGE_MS: Final = 2.0**31
 
 
 class ConfigurationLease:
-    """Lease on the configuration in force.
+    """Lease on the configuration in force; times are monotonic milliseconds."""
 
-    Parameters
-    ----------
-    now : float
-        Monotonic time in milliseconds.
-    """
-
-    def __init__(self, now: Millis) -> None:
+    def __init__(self) -> None:
         self._read_at: Millis = NEVER
-        self._down_at_by_member: dict[str, Millis] = {}
-        self._is_down = False
-        self._started_at = now
+        self.is_platform_down = False
 
     def on_read(self, now: Millis) -> None:
         """Note a successful read of the newest version by this VM."""
         self._read_at = max(self._read_at, now)
-        self._is_down = False
+        self.is_platform_down = False
 
     def on_read_failed(self) -> None:
         """Note that this VM could not read the table."""
-        self._is_down = True
+        self.is_platform_down = True
 
-    def on_heartbeat(self, member: str, freshness: Freshness, now: Millis) -> None:
+    def on_heartbeat(self, freshness: Freshness, now: Millis) -> None:
         """Take over hearsay of a member that has the same version or an older one."""
         self._read_at = max(self._read_at, now - freshness.read_age)
-        if freshness.is_platform_down:
-            self._down_at_by_member[member] = now
-        else:
-            self._down_at_by_member.pop(member, None)
 
     def freshness(self, now: Millis) -> Freshness:
         """Return what this VM tells others."""
-        age = min(now - self._read_at, 2.0**31)
-        return Freshness(int(age), self._is_down)
+        return Freshness(int(min(now - self._read_at, LARGEST_AGE_MS)))
 
-    def is_held(self, now: Millis, known_members: int) -> bool:
+    def is_held(self, now: Millis, is_outage_attested: bool) -> bool:
         """Whether callers may be taken.
 
         Parameters
         ----------
         now : float
-        known_members : int
-            Number of VMs in the fleet as last known, this one included.
+        is_outage_attested : bool
+            Whether most of the fleet says that the platform is down.
         """
         if now - self._read_at < LEASE_MS:
             return True
-        return self._is_outage_attested(now, known_members)
-
-    def _is_outage_attested(self, now: Millis, known_members: int) -> bool:
-        if not self._is_down:
-            return False
-        recent = [
-            at for at in self._down_at_by_member.values() if now - at < ATTESTATION_MS
-        ]
-        return 2 * (len(recent) + 1) > known_members
+        return self.is_platform_down and is_outage_attested
--- a/src/galenaferry/configuration/tests/test_freshness.py
+++ b/src/galenaferry/configuration/tests/test_freshness.py
@@ -1,48 +1,90 @@
 """When a VM may go on with the configuration that it has."""
 
+from random import Random
+
 from galenaferry.configuration.freshness import LEASE_MS, ConfigurationLease
-from galenaferry.membership.messages import Freshness
+from galenaferry.membership.messages import Freshness, Member
+from galenaferry.membership.state import FORGOTTEN_MS, MemberTable
+
+HOURS = 3 * 3600_000.0
 
 
 def test_a_new_vm_holds_no_lease_before_it_has_read():
-    lease = ConfigurationLease(0.0)
-    assert not lease.is_held(1.0, 3)
+    lease = ConfigurationLease()
+    assert not lease.is_held(1.0, False)
     lease.on_read(1.0)
-    assert lease.is_held(1.0 + LEASE_MS - 1.0, 3)
-    assert not lease.is_held(1.0 + LEASE_MS, 3)
+    assert lease.is_held(1.0 + LEASE_MS - 1.0, False)
+    assert not lease.is_held(1.0 + LEASE_MS, False)
 
 
 def test_hearsay_of_a_read_renews_by_its_age():
-    lease = ConfigurationLease(0.0)
-    lease.on_heartbeat("a", Freshness(3000, False), 10_000.0)
-    assert lease.is_held(7000.0 + LEASE_MS - 1.0, 3)
-    assert not lease.is_held(7000.0 + LEASE_MS, 3)
+    lease = ConfigurationLease()
+    lease.on_heartbeat(Freshness(3000), 10_000.0)
+    assert lease.is_held(7000.0 + LEASE_MS - 1.0, False)
+    assert not lease.is_held(7000.0 + LEASE_MS, False)
     assert lease.freshness(12_000.0).read_age == 5000
 
 
-def test_the_fleet_goes_on_while_the_platform_is_down_for_everybody():
-    lease = ConfigurationLease(0.0)
-    lease.on_read(0.0)
-    hours = 3 * 3600_000.0
+def test_an_attested_outage_counts_only_for_a_vm_that_cannot_read_either():
+    lease = ConfigurationLease()
+    assert not lease.is_held(HOURS, True)
     lease.on_read_failed()
-    for name in ("a", "b"):
-        lease.on_heartbeat(name, Freshness(int(hours), True), hours)
-    assert lease.is_held(hours, 5)
-    assert not lease.is_held(hours, 6)
-    assert not lease.is_held(hours + 6000.0, 5)
+    assert lease.is_held(HOURS, True)
 
 
-def test_a_minority_that_is_cut_off_stops():
-    lease = ConfigurationLease(0.0)
-    lease.on_read(0.0)
-    lease.on_read_failed()
-    lease.on_heartbeat("a", Freshness(20_000, True), 20_000.0)
-    assert not lease.is_held(20_000.0, 40)
+def member(name, region="andes", counter=1, is_down=True):
+    return Member(name, 1, counter, "north", region, False, 0, is_down)
 
 
-def test_one_member_that_can_read_outweighs_the_outage():
-    lease = ConfigurationLease(0.0)
-    lease.on_read_failed()
-    lease.on_heartbeat("a", Freshness(20_000, True), 20_000.0)
-    lease.on_heartbeat("a", Freshness(0, False), 20_001.0)
-    assert lease.is_held(20_001.0, 40)
+def make_table(others, now=0.0):
+    table = MemberTable(member("me"), Random(1))
+    for other in others:
+        table.hear(other, now)
+    return table
+
+
+def names(count):
+    return frozenset(f"m{n}" for n in range(count))
+
+
+def test_the_fleet_goes_on_while_most_of_it_says_that_the_platform_is_down():
+    listed = names(39) | {"me"}
+    most = make_table([member(f"m{n}") for n in range(20)])
+    assert most.is_outage_attested(listed, 0.0)
+    half = make_table([member(f"m{n}") for n in range(19)])
+    assert not half.is_outage_attested(listed, 0.0)
+
+
+def test_a_part_that_is_cut_off_stays_a_minority_after_the_others_are_forgotten():
+    listed = names(39) | {"me"}
+    table = make_table([member(f"m{n}", is_down=False) for n in range(39)])
+    now = FORGOTTEN_MS * 2.0
+    table.forget(now)
+    for n in range(4):
+        table.hear(member(f"m{n}", counter=9), now)
+    assert not table.is_outage_attested(listed, now)
+
+
+def test_one_region_that_is_cut_off_is_no_majority_of_regions():
+    own = [member(f"m{n}") for n in range(30)]
+    far = [
+        member(f"{region}{n}", region, is_down=False)
+        for region in ("altai", "tien")
+        for n in range(4)
+    ]
+    table = make_table(own + far)
+    assert not table.is_outage_attested(names(30), 0.0)
+    now = FORGOTTEN_MS * 2.0
+    table.forget(now)
+    for one in own:
+        table.hear(one._replace(counter=9), now)
+    assert not table.is_outage_attested(names(30), now)
+    for one in far:
+        table.hear(one._replace(counter=9, is_platform_down=True), now)
+    assert table.is_outage_attested(names(30), now)
+
+
+def test_hearsay_carries_the_attestation():
+    table = make_table([member("m0", is_down=False)])
+    table.hear(member("m0", counter=2), 1.0)
+    assert table.is_outage_attested(names(1) | {"me"}, 1.0)
--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -22,8 +22,8 @@
 from .health.component import HealthComponent
 from .health.messages import Report, Verdicts
 from .logs import logger, set_up_logs
-from .membership.component import MembershipComponent
-from .membership.messages import Freshness, Heartbeat, Member
+from .membership.component import Described, MembershipComponent
+from .membership.messages import Heartbeat, Member
 from .membership.state import MemberTable
 from .metrics.registry import Metrics
 from .network.loop import Loop
@@ -37,6 +37,7 @@
 from .spreading.messages import LogName, SpreadMessage
 
 EXIT_BAD_SETTINGS: Final = 2
+EXIT_CANNOT_SERVE: Final = 1
 SHARE_MS: Final = 500.0
 YOUNG_COLLECTION_THRESHOLD: Final = 10_000
 
@@ -97,6 +98,7 @@
         self.loop.every(SHARE_MS, self._share_capacity)
         self.health.routes = self.context.routes
         self.configuration.live_fleet = self._live_fleet
+        self.configuration.is_outage_attested = self.membership.is_outage_attested
         self.health.is_cold = self.directory.is_cold
         self.requests = RequestsComponent(self.context, settings.callers).register(self)
         self.drain = DrainComponent(
@@ -121,7 +123,7 @@
         configuration = self.configuration
         if heartbeat.version <= configuration.store.head.version:
             now = self.loop.clock.now()
-            configuration.lease.on_heartbeat(sender.address, heartbeat.freshness, now)
+            configuration.lease.on_heartbeat(heartbeat.freshness, now)
         configuration.on_version(sender.address, heartbeat.version)
 
     def on_spread(self, sender: Member, message: SpreadMessage) -> None:
@@ -151,9 +153,7 @@
             return False, "stopping"
         if not self.membership.is_list_known:
             return False, "the VM list is not known yet"
-        configuration = self.configuration
-        now = self.loop.clock.now()
-        if not configuration.lease.is_held(now, configuration.fleet_size):
+        if not self.configuration.is_lease_held():
             return False, "the configuration may be outdated"
         return True, "ready"
 
@@ -259,10 +259,11 @@
     def _send(self, address: str, message: Message) -> None:
         self.peers.send(address, message)
 
-    def _describe(self) -> tuple[int, str, Freshness]:
+    def _describe(self) -> Described:
         head = self.configuration.store.head
-        freshness = self.configuration.lease.freshness(self.loop.clock.now())
-        return head.version, head.digest, freshness
+        lease = self.configuration.lease
+        freshness = lease.freshness(self.loop.clock.now())
+        return Described(head.version, head.digest, freshness, lease.is_platform_down)
 
     def _on_instances(self, instances: tuple[Instance, ...]) -> None:
         self.directory.replace(instances)
@@ -312,7 +313,11 @@
         raise SystemExit(EXIT_BAD_SETTINGS)
     settings = result.ok_value
     set_up_logs(settings.logs_json)
-    run(settings)
+    try:
+        run(settings)
+    except OSError as error:
+        sys.stderr.write(f"{arguments.settings.name}: can't serve: {error}\n")
+        raise SystemExit(EXIT_CANNOT_SERVE) from None
 
 
 if __name__ == "__main__":
--- a/src/galenaferry/health/component.py
+++ b/src/galenaferry/health/component.py
@@ -62,9 +62,7 @@
         self._told: dict[int, Verdict] = {}
         self._told_at: Millis = 0.0
         self._members_seen: frozenset[str] = frozenset()
-        self.is_cold: Callable[[Instance, Policy], bool] = lambda instance, policy: (
-            False
-        )
+        self.is_cold: Callable[[Instance, Policy], bool] = _never_cold
         self.routes: RouteTable | None = None
         self.evidence = LocalEvidence()
         self.book = HealthBook()
@@ -229,3 +227,8 @@
 def _is_news(told: Verdict | None, verdict: Verdict) -> bool:
     state = HealthState.HEALTHY if told is None else told.state
     return state is not verdict.state
+
+
+def _never_cold(instance: Instance, policy: Policy) -> bool:
+    """Stand in until the directory is bound."""
+    return False
--- a/src/galenaferry/membership/component.py
+++ b/src/galenaferry/membership/component.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from circuits import BaseComponent
 from result import Err, Result
@@ -24,8 +24,16 @@
 SHORTEST_POLL_MS: Final = 1000.0
 APPLY_DELAY_MS: Final = 50.0
 
-Describe = Callable[[], tuple[int, str, Freshness]]
-"""Gives the version, digest and freshness that heartbeats carry."""
+Describe = Callable[[], "Described"]
+
+
+class Described(NamedTuple):
+    """What heartbeats tell of the configuration of this VM."""
+
+    version: int
+    digest: str
+    freshness: Freshness
+    is_platform_down: bool
 
 
 class MembershipComponent(BaseComponent):
@@ -83,6 +91,10 @@
         live = {member.address for member in self.table.live(self._loop.clock.now())}
         return len(live | self._listed)
 
+    def is_outage_attested(self) -> bool:
+        """Whether most of the fleet says that the platform is down."""
+        return self.table.is_outage_attested(self._listed, self._loop.clock.now())
+
     def targets(self, count: int) -> list[str]:
         """Return addresses of random live VMs."""
         return self.table.targets(count, self._loop.clock.now())[:count]
@@ -126,11 +138,15 @@
 
     def _beat(self) -> None:
         now = self._loop.clock.now()
-        version, digest, freshness = self._describe()
-        self.table.beat(version)
+        described = self._describe()
+        self.table.beat(described.version, described.is_platform_down)
         self.table.forget(now)
         heartbeat = Heartbeat(
-            version, digest, freshness, self.vm_list.version, self.table.sample(now)
+            described.version,
+            described.digest,
+            described.freshness,
+            self.vm_list.version,
+            self.table.sample(now),
         )
         for address in self.table.targets(HEARTBEAT_FANOUT, now):
             self._send(address, heartbeat)
--- a/src/galenaferry/membership/messages.py
+++ b/src/galenaferry/membership/messages.py
@@ -8,7 +8,8 @@
 
     ``address`` is IP:PORT of its peer socket. A higher ``incarnation``
     replaces a lower one; within one, ``counter`` grows with every heartbeat.
-    ``version`` is that of the configuration in force there.
+    ``version`` is that of the configuration in force there, and
+    ``is_platform_down`` tells that its reads of the platform fail now.
     """
 
     address: str
@@ -18,18 +19,17 @@
     region: str
     is_leaving: bool
     version: int
+    is_platform_down: bool = False
 
 
 class Freshness(NamedTuple):
     """How old a VM's knowledge of the platform is, in milliseconds.
 
     ``read_age`` is the age of the newest successful read of the configuration
-    that it knows of, of its own or by hearsay. ``is_platform_down`` tells that
-    its own reads fail now.
+    that it knows of, of its own or by hearsay.
     """
 
     read_age: int
-    is_platform_down: bool
 
 
 class Heartbeat(NamedTuple):
--- a/src/galenaferry/membership/state.py
+++ b/src/galenaferry/membership/state.py
@@ -32,13 +32,41 @@
         self._members: dict[str, Member] = {}
         self._advanced_at: dict[str, Millis] = {}
         self._count_by_region: dict[str, int] = {}
+        self._regions = {me.region}
 
     def __len__(self) -> int:
         return len(self._members)
 
-    def beat(self, version: int) -> None:
+    def beat(self, version: int, is_platform_down: bool) -> None:
         """Advance this VM's own entry for the next heartbeat."""
-        self.me = self.me._replace(counter=self.me.counter + 1, version=version)
+        self.me = self.me._replace(
+            counter=self.me.counter + 1,
+            version=version,
+            is_platform_down=is_platform_down,
+        )
+
+    def is_outage_attested(self, listed: frozenset[str], now: Millis) -> bool:
+        """Whether most of the fleet says that the platform is down.
+
+        Each region has one vote, since a view holds few VMs of other regions. A
+        region that was ever heard of keeps its vote: a part that is cut off must
+        not take itself for the whole after the others are forgotten.
+
+        Parameters
+        ----------
+        listed : frozenset of str
+            VMs of the own region by the last VM list.
+        now : float
+        """
+        live = self.live(now)
+        own = {m.address for m in live if m.region == self.me.region} | listed
+        votes = 0
+        for region in self._regions:
+            heard = [member for member in live if member.region == region]
+            known = len(own) if region == self.me.region else len(heard)
+            down = sum(1 for member in heard if member.is_platform_down)
+            votes += 2 * down > known
+        return 2 * votes > len(self._regions)
 
     def hear(self, member: Member, now: Millis) -> None:
         """Take over an entry that is newer than the known one."""
@@ -112,6 +140,7 @@
                 self._count_by_region[member.region] -= 1
 
     def _add(self, member: Member, now: Millis) -> None:
+        self._regions.add(member.region)
         count = self._count_by_region.get(member.region, 0)
         is_far = member.region != self.me.region
         if is_far and count >= MEMBERS_PER_OTHER_REGION:
--- a/src/galenaferry/membership/tests/test_component.py
+++ b/src/galenaferry/membership/tests/test_component.py
@@ -6,7 +6,7 @@
 from result import Ok
 
 from galenaferry.clock import FakeClock
-from galenaferry.membership.component import MembershipComponent
+from galenaferry.membership.component import Described, MembershipComponent
 from galenaferry.membership.messages import Freshness, Heartbeat, Member
 from galenaferry.membership.vm_list import VmChange, VmRow
 from galenaferry.network.loop import Loop
@@ -42,7 +42,7 @@
             seeds,
             Random(1),
             lambda address, message: self.sent.append((address, message)),
-            lambda: (0, "", Freshness(0, False)),
+            lambda: Described(0, "", Freshness(0), False),
             lambda instances: self.applied.append(
                 (self.component.is_list_known, instances)
             ),
@@ -94,6 +94,6 @@
 def test_lists_of_other_regions_are_left_alone():
     bench = Bench()
     bench.component.on_heartbeat(
-        member("far", "altai"), Heartbeat(0, "", Freshness(0, False), 99, ())
+        member("far", "altai"), Heartbeat(0, "", Freshness(0), 99, ())
     )
     assert bench.sent == []
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -76,6 +76,7 @@
     target.region = member.region
     target.isLeaving = member.is_leaving
     target.version = member.version
+    target.isPlatformDown = member.is_platform_down
 
 
 def _read_member(source: Any) -> Member:
@@ -87,6 +88,7 @@
         region=source.region,
         is_leaving=source.isLeaving,
         version=source.version,
+        is_platform_down=source.isPlatformDown,
     )
 
 
@@ -129,7 +131,6 @@
     target.digest = heartbeat.digest
     target.readAgeMs = min(heartbeat.freshness.read_age, LARGEST_AGE_MS)
     target.listRevision = heartbeat.list_revision
-    target.isPlatformDown = heartbeat.freshness.is_platform_down
     sample = target.init("sample", len(heartbeat.sample))
     for number, member in enumerate(heartbeat.sample):
         _fill_member(sample[number], member)
@@ -198,7 +199,7 @@
     return Heartbeat(
         version=source.version,
         digest=source.digest,
-        freshness=Freshness(source.readAgeMs, source.isPlatformDown),
+        freshness=Freshness(source.readAgeMs),
         list_revision=source.listRevision,
         sample=tuple(_read_member(member) for member in source.sample),
     )
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -9,15 +9,15 @@
   region @4 :Text;
   isLeaving @5 :Bool;
   version @6 :UInt64;
+  isPlatformDown @7 :Bool;
 }
 
 struct Heartbeat {
   version @0 :UInt64;
   digest @1 :Text;
   readAgeMs @2 :UInt32;
-  isPlatformDown @3 :Bool;
-  sample @4 :List(Member);
-  listRevision @5 :UInt64;
+  sample @3 :List(Member);
+  listRevision @4 :UInt64;
 }
 
 struct Push {
--- a/src/galenaferry/peers/tests/test_codec.py
+++ b/src/galenaferry/peers/tests/test_codec.py
@@ -18,7 +18,7 @@
 KEYS = PeerKeys(b"a key of the fleet")
 ME = Member("10.0.0.1:7000", 1764806400000, 7, "north", "andes", False, 3)
 MESSAGES = [
-    Heartbeat(4, "digest", Freshness(12, True), 9, (ME, ME._replace(is_leaving=True))),
+    Heartbeat(4, "digest", Freshness(12), 9, (ME, ME._replace(is_leaving=True))),
     Push(LogName.CONFIGURATION, ("one", "two")),
     Pull(LogName.VM_LIST, 17),
     PagePull(LogName.VM_LIST, 17, 6),
