--- a/src/galenaferry/health/detector.py
+++ b/src/galenaferry/health/detector.py
@@ -33,16 +33,18 @@
 class Alternative(NamedTuple):
     """A rate of positive outcomes that a sick instance may show.
 
-    ``ticks`` is the number of ticks with a positive outcome that an alarm needs;
-    a low rate needs more, since a burst after two single errors looks like it.
+    ``ticks`` is the number of ticks with a positive outcome that an alarm needs,
+    and ``reserve`` is added to the limit of its sum. A low rate needs more of both,
+    since bursts and bad requests beside single errors look like it.
     """
 
     rate: float
     ticks: int
+    reserve: float = 0.0
 
 
 FAILURE_ALTERNATIVES: Final = (
-    Alternative(0.1, 6),
+    Alternative(0.1, 6, 2.0),
     Alternative(0.3, 4),
     Alternative(0.9, 4),
 )
@@ -131,7 +133,7 @@
         rate predicts of them, since errors of one moment are often related.
         """
         positives = sum(positives_by_reporter.values())
-        for number, (rate, _) in enumerate(self._alternatives):
+        for number, (rate, _, _) in enumerate(self._alternatives):
             if rate < base * SMALLEST_RATIO:
                 self._sums[number] = 0.0
                 self._ticks[number] = 0
@@ -164,7 +166,8 @@
             Number of VMs that sent the instance work lately.
         """
         if not any(
-            total >= needed.limit and ticks >= alternative.ticks + needed.extra_ticks
+            total >= needed.limit + alternative.reserve
+            and ticks >= alternative.ticks + needed.extra_ticks
             for total, ticks, alternative in zip(
                 self._sums, self._ticks, self._alternatives
             )
