Let backend stand-ins start cold and keep deadlines

Change: the first executions can take longer, and work that can't be done in the time left is certified as not run. Measured: two new tests: a deadline of 300 ms before 500 ms of work gives 503 not-run without an execution; a cold instance gets under a third of its share. Conclusion: cancellation is what the stand-in still lacks.

--- a/src/galenaferry/requests/tests/test_exchange.py
+++ b/src/galenaferry/requests/tests/test_exchange.py
@@ -337,3 +337,33 @@
         assert caller.get("/bookings/b").answers(2)[1][0] == 200
         waits.append(bench.clock.now() - started)
     assert sum(wait > 1000.0 for wait in waits) == 1
+
+
+def test_work_that_cannot_be_done_in_time_is_not_run():
+    bench = Bench(modes=[faulty(slow_factor=100.0)])
+    caller = bench.caller().post(
+        "/bookings/a", headers="Galenaferry-Time-Left-Ms: 300\r\n"
+    )
+    status, headers, _ = caller.answers()[0]
+    assert (status, headers["galenaferry-ran"], bench.executions()) == (
+        503,
+        "not-run",
+        0,
+    )
+
+
+def test_an_instance_that_starts_cold_gets_little_work_at_first():
+    bench = Bench(
+        modes=[healthy(), faulty(cold_executions=5)], zones=["north", "north"]
+    )
+    old, new = bench.instances
+    bench.directory.replace([old])
+    bench.directory.replace([old, new])
+    for number in range(60):
+        assert bench.caller().get(f"/bookings/{number}").answers()[0][0] == 200
+    early = bench.backends[1].state.counters.executed
+    assert early < 20
+    bench.run_for(10_000.0)
+    for number in range(60):
+        bench.caller().get(f"/bookings/{number}").answers()
+    assert bench.backends[1].state.counters.executed - early > 20
--- a/src/galenaferry/stand_ins/backend.py
+++ b/src/galenaferry/stand_ins/backend.py
@@ -90,16 +90,17 @@
 
     def _work(self, head: RequestHead, path: str) -> None:
         state, mode = self._state, self._state.mode
-        if state.must_shed():
+        left = (head.header(b"galenaferry-time-left-ms") or b"").decode()
+        if state.must_shed(float(left) if left.isdigit() else float("inf")):
             state.counters.shed += 1
             extra = (NOT_RUN, DRAINING) if mode.is_draining else (NOT_RUN,)
             self._answer(503, b"busy\n", extra)
             return
+        interval = state.next_interval()
         state.execute((head.header(b"x-booking-id") or b"").decode())
         if state.happens(mode.silent_part):
             return
         state.counters.busy += 1
-        interval = mode.work_ms * mode.slow_factor
         self._loop.after(interval, lambda: self._finish(head, path))
 
     def _finish(self, head: RequestHead, path: str) -> None:
--- a/src/galenaferry/stand_ins/backend_state.py
+++ b/src/galenaferry/stand_ins/backend_state.py
@@ -9,7 +9,8 @@
 class BackendMode:
     """How the stand-in behaves; all parts are between 0 and 1.
 
-    ``work_ms`` is the time of one execution and ``slow_factor`` multiplies it.
+    ``work_ms`` is the time of one execution and ``slow_factor`` multiplies it; the
+    first ``cold_executions`` take ``cold_factor`` times as long.
     """
 
     error_part: float = 0.0
@@ -19,6 +20,8 @@
     truncate_part: float = 0.0
     garbage_part: float = 0.0
     is_draining: bool = False
+    cold_executions: int = 0
+    cold_factor: float = 10.0
     work_ms: float = 5.0
     slots: int = 6
 
@@ -48,9 +51,22 @@
             current = getattr(self.mode, name)
             setattr(self.mode, name, type(current)(value))
 
-    def must_shed(self) -> bool:
-        """Whether a request is refused before it is run."""
-        return self.mode.is_draining or self.counters.busy >= self.mode.slots
+    def must_shed(self, time_left_ms: float) -> bool:
+        """Whether a request is refused before it is run.
+
+        That is so while draining, without a free slot, and where the work would
+        not be done within the time that its caller still waits.
+        """
+        is_late = time_left_ms < self.next_interval()
+        is_full = self.counters.busy >= self.mode.slots
+        return self.mode.is_draining or is_full or is_late
+
+    def next_interval(self) -> float:
+        """Return the time that the next execution takes, in milliseconds."""
+        mode = self.mode
+        is_cold = self.counters.executed < mode.cold_executions
+        factor = mode.cold_factor if is_cold else 1.0
+        return mode.work_ms * mode.slow_factor * factor
 
     def execute(self, request_id: str) -> None:
         """Record the execution of a request."""
