--- /dev/null
+++ b/benches/capacity_slopes.py
@@ -0,0 +1,381 @@
+"""Slopes of state, processor time and messages.
+
+Every slope is fitted by least squares over the sizes shown; its error is the
+largest distance of a measured point from the line, relative to that point.
+"""
+
+import gc
+import json
+import os
+import sys
+import time
+from collections.abc import Callable
+from multiprocessing import get_context
+from random import Random
+from typing import NamedTuple
+
+import numpy as np
+
+from galenaferry.attempts.messages import Evidence
+from galenaferry.backends.directory import Directory, Standing
+from galenaferry.backends.messages import Instance
+from galenaferry.clock import FakeClock
+from galenaferry.configuration.compact import Configuration
+from galenaferry.configuration.messages import (
+    Edit,
+    Head,
+    Proposal,
+    encode_change,
+    make_change,
+)
+from galenaferry.configuration.snapshots import SECTIONS_PER_PAGE
+from galenaferry.configuration.state import ConfigurationStore
+from galenaferry.health.evidence import LocalEvidence
+from galenaferry.health.home import Dial, Home, InstanceFacts
+from galenaferry.health.homes import homes
+from galenaferry.health.messages import Counts, Report
+from galenaferry.health.state import HealthBook
+from galenaferry.membership.messages import Freshness, Heartbeat, Member
+from galenaferry.membership.state import MemberTable
+from galenaferry.network.loop import Loop
+from galenaferry.peers.codec import Datagram, PeerKeys, decode, encode
+from galenaferry.routing.table import RouteTable
+from galenaferry.spreading.messages import LogName, Push
+from galenaferry.spreading.spreader import Spreader
+
+KEYS = PeerKeys(b"a key for the capacity bench")
+
+
+class Size(NamedTuple):
+    """Sizes of the design, as far as the slopes need them."""
+
+    routes: int = 270_000
+    services: int = 12_000
+    instances: int = 200_000
+    nodes: int = 4_800
+    regions: int = 11
+    zones: int = 22
+
+
+class Slope(NamedTuple):
+    name: str
+    unit: str
+    per: str
+    slope: float
+    start: float
+    error: float
+    sizes: list[int]
+
+
+def fit(name: str, unit: str, per: str, points: list[tuple[int, float]]) -> Slope:
+    sizes = np.array([size for size, _ in points], dtype=float)
+    values = np.array([value for _, value in points])
+    slope, start = np.polyfit(sizes, values, 1)
+    errors = np.abs(slope * sizes + start - values) / np.maximum(values, 1e-12)
+    return Slope(
+        name, unit, per, slope, start, float(errors.max()), [size for size, _ in points]
+    )
+
+
+def resident_mb() -> float:
+    with open("/proc/self/statm") as file:
+        pages = int(file.read().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def memory_of(build: Callable[[int], object], size: int) -> float:
+    """Return the MB that ``build(size)`` holds, measured in this process."""
+    gc.collect()
+    before = resident_mb()
+    held = build(size)
+    gc.collect()
+    grown = resident_mb() - before
+    assert held is not None
+    return grown
+
+
+def in_process(task: str, size: int) -> float:
+    """Run one measurement in a fresh process."""
+    with get_context("spawn").Pool(1) as pool:
+        return pool.apply(TASKS[task], (size,))
+
+
+def timed(call: Callable[[], object], repeats: int) -> float:
+    """Return the processor time of one call in microseconds."""
+    call()
+    started = time.process_time()
+    for _ in range(repeats):
+        call()
+    return (time.process_time() - started) / repeats * 1e6
+
+
+def route_sections(count: int, start: int = 0) -> dict[str, dict[str, str]]:
+    return {
+        f"exception route-{number}": {
+            "scope": f"route * /service-{number % 12_000}/part-{number}",
+            "reason": f"ticket {number}",
+            "attempt_timeout_ms": str(1000 + number % 1000),
+        }
+        for number in range(start, count)
+    }
+
+
+def load_routes(count: int) -> tuple[ConfigurationStore, RouteTable]:
+    """Load pages of a snapshot as a VM does at its start."""
+    configuration = Configuration()
+    for start in range(0, count, SECTIONS_PER_PAGE):
+        page = route_sections(min(count, start + SECTIONS_PER_PAGE), start)
+        configuration.extend(json.loads(json.dumps(page)))
+    store = ConfigurationStore()
+    store.load(Head(1, "digest"), configuration)
+    return store, RouteTable(store.configuration, "north")
+
+
+def memory_routes(count: int) -> float:
+    return memory_of(load_routes, count)
+
+
+def load_time(count: int) -> float:
+    text = json.dumps(route_sections(count))
+    started = time.process_time()
+    store = ConfigurationStore()
+    store.load(Head(1, "digest"), Configuration(json.loads(text)))
+    RouteTable(store.configuration, "north")
+    return (time.process_time() - started) * 1e3
+
+
+def change_time(count: int) -> float:
+    store, table = load_routes(count)
+    spreader = Spreader(LogName.CONFIGURATION, store, lambda number: ["x"] * number)
+    times = []
+    for number in range(12):
+        edit = Edit(f"exception route-{number}", "max_attempts", "2")
+        proposal = Proposal(str(number), store.head.version, "ana", "why", (edit,))
+        change = make_change(store.head, proposal, 0.0)
+        push = Push(LogName.CONFIGURATION, (encode_change(change),))
+        started = time.process_time()
+        spreader.on_message("x", push, 0.0)
+        table.use(store.configuration)
+        times.append((time.process_time() - started) * 1e3)
+    return float(np.median(times))
+
+
+def make_instances(count: int) -> list[Instance]:
+    return [
+        Instance(
+            f"10.{number // 65536}.{number // 256 % 256}.{number % 256}:8080",
+            f"service-{number // 17}",
+            f"zone-{number % 2}",
+            False,
+        )
+        for number in range(count)
+    ]
+
+
+def build_directory(count: int) -> object:
+    book = HealthBook()
+
+    class Weights:
+        def standing(self, service, instances, policy):
+            return Standing({i.address: 1.0 for i in instances}, frozenset())
+
+    directory = Directory(Loop(FakeClock(1.0)), "zone-0", Weights(), Random(1))
+    directory.replace(make_instances(count))
+    return directory, book
+
+
+def memory_instances(count: int) -> float:
+    return memory_of(build_directory, count)
+
+
+def build_evidence(count: int) -> object:
+    evidence = LocalEvidence()
+    for number, instance in enumerate(make_instances(count)):
+        evidence.observe(
+            instance.address,
+            instance.zone,
+            f"GET /{instance.service}",
+            b"/x",
+            Evidence.SUCCESS,
+            5.0,
+            float(number),
+        )
+        evidence.counts(instance.address)
+    return evidence
+
+
+def memory_evidence(count: int) -> float:
+    return memory_of(build_evidence, count)
+
+
+def member(number: int, counter: int = 1) -> Member:
+    return Member(
+        f"10.9.{number // 256}.{number % 256}:7000",
+        1764806400000,
+        counter,
+        f"zone-{number % 2}",
+        "andes",
+        False,
+        1,
+    )
+
+
+def build_members(count: int) -> MemberTable:
+    table = MemberTable(member(0), Random(1))
+    for number in range(1, count + 1):
+        table.hear(member(number), 0.0)
+    return table
+
+
+def memory_members(count: int) -> float:
+    return memory_of(build_members, count)
+
+
+def make_home(instances: int) -> Home:
+    def facts(key: int) -> InstanceFacts:
+        return InstanceFacts(key, f"s{key // 17}", f"zone-{key % 2}", False)
+
+    return Home(facts, lambda service: Dial(10.0))
+
+
+def build_home(pairs: int) -> Home:
+    """A home of 83 instances with as many reporters as the pairs need."""
+    home = make_home(83)
+    for number in range(max(1, pairs // 83)):
+        rows = tuple(Counts(key, 10, 0, 1) for key in range(83))
+        home.on_report(f"vm{number}", 1, Report(rows), 0.0)
+    return home
+
+
+def memory_home(pairs: int) -> float:
+    return memory_of(build_home, pairs)
+
+
+def tick_time(instances: int) -> float:
+    """Return the least of three medians, against noise of a shared machine."""
+    return min(median_tick_time(instances) for _ in range(3))
+
+
+def median_tick_time(instances: int) -> float:
+    home = make_home(instances)
+    totals = [0] * instances
+    times = []
+    for tick in range(60):
+        now = tick * 200.0
+        for reporter in range(8):
+            rows = []
+            for key in range(instances):
+                totals[key] += 1
+                rows.append(Counts(key, totals[key], totals[key] // 200, 0))
+            home.on_report(f"vm{reporter}", 1, Report(tuple(rows)), now)
+        started = time.process_time()
+        home.on_tick(now)
+        times.append((time.process_time() - started) * 1e6)
+    return float(np.median(times))
+
+
+TASKS = {
+    "memory_routes": memory_routes,
+    "load_time": load_time,
+    "change_time": change_time,
+    "memory_instances": memory_instances,
+    "memory_evidence": memory_evidence,
+    "memory_members": memory_members,
+    "memory_home": memory_home,
+    "tick_time": tick_time,
+}
+
+FITS = (
+    (
+        "memory_routes",
+        "Memory of routes",
+        "MB",
+        "route",
+        (20_000, 40_000, 80_000, 160_000),
+    ),
+    ("load_time", "Time to load a snapshot", "ms", "route", (20_000, 40_000, 80_000)),
+    ("change_time", "Time of one change", "ms", "route", (20_000, 80_000, 160_000)),
+    (
+        "memory_instances",
+        "Memory of listed instances",
+        "MB",
+        "instance",
+        (20_000, 60_000, 200_000),
+    ),
+    (
+        "memory_evidence",
+        "Memory of evidence",
+        "MB",
+        "instance",
+        (5_000, 10_000, 20_000),
+    ),
+    ("memory_members", "Memory of members", "MB", "member", (500, 2_000, 4_800)),
+    (
+        "memory_home",
+        "Memory of a home",
+        "MB",
+        "reporter x instance",
+        (8_300, 16_600, 33_200),
+    ),
+    ("tick_time", "Time of a home's tick", "us", "instance", (17, 51, 102, 204)),
+)
+
+
+def measure_slopes() -> list[Slope]:
+    slopes = []
+    for task, name, unit, per, sizes in FITS:
+        points = [(size, in_process(task, size)) for size in sizes]
+        slopes.append(fit(name, unit, per, points))
+        print([(size, round(value, 3)) for size, value in points], file=sys.stderr)
+        print(f"{name}: {slopes[-1].slope:.6g} {unit} a {per}", file=sys.stderr)
+    return slopes
+
+
+def measure_messages() -> dict[str, tuple[float, float, float]]:
+    """Return bytes, time to encode and time to decode by message, in us."""
+    sample = tuple(member(number) for number in range(10))
+    rows = tuple(Counts(2**60 + number, 1000, 5, 100) for number in range(2))
+    edit = Edit("exception route-12345", "max_attempts", "2")
+    proposal = Proposal("f" * 36, 1, "operator", "a written reason", (edit,))
+    change = make_change(Head(1, "d" * 32), proposal, 1764806400000.0)
+    messages = {
+        "heartbeat": Heartbeat(9, "d" * 32, Freshness(900), 9, sample),
+        "report of 2 counts": Report(rows),
+        "push of 1 change": Push(LogName.CONFIGURATION, (encode_change(change),)),
+    }
+    figures = {}
+    for name, message in messages.items():
+        datagram = Datagram(member(1), message)
+        data = encode(datagram, KEYS)
+        figures[name] = (
+            len(data) + 28.0,
+            timed(lambda d=datagram: encode(d, KEYS), 2000),
+            timed(lambda b=data: decode(b, KEYS), 2000),
+        )
+    return figures
+
+
+def measure_members() -> tuple[float, float]:
+    """Return the time to beat and to hear a heartbeat at 470 members, in us."""
+    table = build_members(470)
+    heard = iter(range(2, 10**9))
+
+    def beat() -> None:
+        table.beat(1, False)
+        table.forget(100.0)
+        table.sample(100.0)
+        table.targets(3, 100.0)
+
+    def hear() -> None:
+        number = next(heard)
+        for place in range(11):
+            table.hear(member(place + 1, number), 100.0)
+
+    return timed(beat, 500), timed(hear, 500)
+
+
+def measure_homes() -> float:
+    """Return the time to find the homes of one service among 436 members."""
+    names = [member(number).address for number in range(436)]
+    services = iter(range(10**9))
+    return timed(lambda: homes(f"service-{next(services)}", names), 200)
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -10,7 +10,7 @@
     Ran,
     Verdict,
 )
-from ..attempts.outcomes import classify_status, is_permitted, judge, worse
+from ..attempts.outcomes import classify_status, judge, worse
 from ..backends.choice import Busy, Chosen, Nothing
 from ..backends.messages import Instance, Shares
 from ..claims.component import ClaimsComponent
@@ -37,6 +37,7 @@
     REQUEST_ID,
     TIME_LEFT,
 )
+from .retries import takes_another_attempt
 from .settling import SentAttempt, settle
 from .sinks import NOBODY, AnswerSink
 from .waiting import Waiter
@@ -55,27 +56,6 @@
     head : RequestHead
     """
 
-    __slots__ = (
-        "_admission",
-        "_attempt",
-        "_claim",
-        "_context",
-        "_deadline",
-        "_instance",
-        "_is_continue_owed",
-        "_is_waiting",
-        "_ran",
-        "_request_id",
-        "_route",
-        "_shares",
-        "_sink",
-        "_tried",
-        "body",
-        "head",
-        "is_answer_started",
-        "is_over",
-    )
-
     def __init__(
         self, context: RequestContext, sink: AnswerSink, head: RequestHead
     ) -> None:
@@ -320,20 +300,18 @@
         attempt = Attempt(context.loop, pool, connection, self, route.policy)
         self._attempt = attempt
         self.body.rewind()
-        attempt.start(
-            encode_request(self.head, self._forwarded_headers()),
-            self.body,
-            self.head.length is None,
-            self.head.method == b"HEAD",
-        )
-
-    def _forwarded_headers(self) -> tuple[Header, ...]:
         assert self._deadline is not None
-        return (
+        added = (
             (REQUEST_ID, self._request_id),
             (TIME_LEFT, b"%d" % self._deadline.left()),
             (ATTEMPT, b"%d" % len(self._tried)),
         )
+        attempt.start(
+            encode_request(self.head, added),
+            self.body,
+            self.head.length is None,
+            self.head.method == b"HEAD",
+        )
 
     def _wait(self, route: Route, until: Millis) -> None:
         """Join the waiting line, or be refused early where it is full."""
@@ -348,21 +326,16 @@
         return self._is_waiting and not self.is_over
 
     def _may_retry(self, verdict: Verdict) -> bool:
-        """Whether another attempt follows; takes its token from the budget."""
         route = self._route
         assert route is not None
-        if self.is_over or len(self._tried) >= route.policy.max_attempts:
-            return False
-        if not is_permitted(verdict, route.is_idempotent):
-            return False
-        if not self.body.is_replayable:
-            return False
-        if not verdict.is_charged:
-            return True
-        if verdict.evidence is Evidence.SHED:
-            # A shed costs the instance little: the request waits for a token.
-            return self._admission.may_try_again
-        return self._context.budget(route.service).spend()
+        return not self.is_over and takes_another_attempt(
+            self._context,
+            route,
+            self.body,
+            self._admission,
+            len(self._tried),
+            verdict,
+        )
 
     def _retry(self) -> None:
         if not self.is_over:
--- /dev/null
+++ b/src/galenaferry/requests/retries.py
@@ -0,0 +1,41 @@
+"""Whether another attempt of a request may follow."""
+
+from ..attempts.messages import Evidence, Verdict
+from ..attempts.outcomes import is_permitted
+from ..routing.table import Route
+from .admission import Admission
+from .body import RequestBody
+from .context import RequestContext
+
+
+def takes_another_attempt(
+    context: RequestContext,
+    route: Route,
+    body: RequestBody,
+    admission: Admission,
+    attempts: int,
+    verdict: Verdict,
+) -> bool:
+    """Whether another attempt follows; takes its token from the budget.
+
+    Parameters
+    ----------
+    context : RequestContext
+    route : Route
+    body : RequestBody
+    admission : Admission
+    attempts : int
+        Number of instances that the request was sent to.
+    verdict : Verdict
+        What the last attempt proved.
+    """
+    if attempts >= route.policy.max_attempts or not body.is_replayable:
+        return False
+    if not is_permitted(verdict, route.is_idempotent):
+        return False
+    if not verdict.is_charged:
+        return True
+    if verdict.evidence is Evidence.SHED:
+        # A shed costs the instance little: the request waits for a token.
+        return admission.may_try_again
+    return context.budget(route.service).spend()
