--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 bench: venv
 	$(PYTHON) benches/latency.py
+	$(PYTHON) benches/parsing.py
 	$(PYTHON) benches/streaming.py
 	$(PYTHON) benches/fleet.py
 	$(PYTHON) benches/spreading.py
