--- a/benches/spreading.py
+++ b/benches/spreading.py
@@ -25,7 +25,7 @@
     make_change,
 )
 from galenaferry.configuration.state import ConfigurationStore
-from galenaferry.membership.component import HEARTBEAT_FANOUT, HEARTBEAT_MS
+from galenaferry.membership.heartbeats import HEARTBEAT_FANOUT, HEARTBEAT_MS
 from galenaferry.membership.messages import Freshness, Heartbeat, Member
 from galenaferry.membership.state import SAMPLE_SIZE
 from galenaferry.peers.codec import Datagram, PeerKeys, encode
--- a/src/galenaferry/admin/tests/builders.py
+++ b/src/galenaferry/admin/tests/builders.py
@@ -11,7 +11,7 @@
 from galenaferry.configuration.acceptance import CHANGE_PREFIX
 from galenaferry.configuration.component import ConfigurationComponent
 from galenaferry.network.json_server import JsonRequest
-from galenaferry.platform.messages import PlatformError, Row
+from galenaferry.store.messages import PlatformError, Row
 
 TOKEN = "secret"
 MEMBERS = [
--- a/src/galenaferry/attempts/budget.py
+++ b/src/galenaferry/attempts/budget.py
@@ -1,11 +1,21 @@
 """The retry budget of one service on one VM."""
 
-from typing import Final
+from typing import Final, Protocol
 
 ADVANCE: Final = 2.0
 LARGEST_RESERVE: Final = 50.0
 
 
+class Budget(Protocol):
+    """Leave to make further attempts."""
+
+    def earn(self, percent: int) -> None:
+        """Count one request of a caller."""
+
+    def spend(self) -> bool:
+        """Take the leave for one further attempt; False where there is none."""
+
+
 class RetryBudget:
     """Tokens earned by requests and spent by further attempts.
 
--- a/src/galenaferry/attempts/messages.py
+++ b/src/galenaferry/attempts/messages.py
@@ -53,6 +53,11 @@
     status: int
 
 
+@dataclass(frozen=True, slots=True)
+class Misdirected:
+    """Another instance has the address and did not run the request."""
+
+
 @dataclass(frozen=True, slots=True)
 class BrokenSent:
     """The connection broke after a byte of the request could have left.
@@ -88,6 +93,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenHeld:
+    """The response ended early, and the caller has seen nothing of it."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class ServerFault:
     """A whole response with a status of the server's own trouble."""
@@ -111,10 +123,12 @@
     NotConnected
     | BrokenUnsent
     | CertifiedNotRun
+    | Misdirected
     | BrokenSent
     | TimedOut
     | BadResponse
     | BrokenResponse
+    | BrokenHeld
     | ServerFault
     | Answered
     | CallerLeft
--- a/src/galenaferry/attempts/outcomes.py
+++ b/src/galenaferry/attempts/outcomes.py
@@ -5,6 +5,7 @@
 from .messages import (
     Answered,
     BadResponse,
+    BrokenHeld,
     BrokenResponse,
     BrokenSent,
     BrokenUnsent,
@@ -12,6 +13,7 @@
     CertifiedNotRun,
     Ending,
     Evidence,
+    Misdirected,
     NotConnected,
     Ran,
     Retry,
@@ -20,6 +22,10 @@
     Verdict,
 )
 
+MISDIRECTED: Final = 421
+CERTIFIABLE: Final = frozenset((400, 429, 503))
+"""Statuses with which a backend server can state that it ran nothing."""
+
 SEVERITY: Final = {Ran.NOT_RUN: 0, Ran.ANSWERED: 1, Ran.UNKNOWN: 2}
 
 
@@ -35,6 +41,8 @@
             return Verdict(Ran.NOT_RUN, Retry.ALWAYS, 503, Evidence.LINK, False)
         case CertifiedNotRun():
             return Verdict(Ran.NOT_RUN, Retry.ALWAYS, 503, Evidence.SHED, True)
+        case Misdirected():
+            return Verdict(Ran.NOT_RUN, Retry.ALWAYS, 503, Evidence.LINK, True)
         case BrokenSent(is_reused=True):
             return Verdict(
                 Ran.UNKNOWN, Retry.IDEMPOTENT, 502, Evidence.CONNECTION, True
@@ -49,6 +57,8 @@
             return Verdict(Ran.UNKNOWN, Retry.IDEMPOTENT, 504, Evidence.FAILURE, True)
         case BadResponse():
             return Verdict(Ran.UNKNOWN, Retry.IDEMPOTENT, 502, Evidence.FAILURE, True)
+        case BrokenHeld():
+            return Verdict(Ran.UNKNOWN, Retry.IDEMPOTENT, 502, Evidence.FAILURE, True)
         case BrokenResponse():
             return Verdict(Ran.UNKNOWN, Retry.NEVER, 0, Evidence.FAILURE, False)
         case ServerFault():
@@ -62,7 +72,9 @@
 
 def classify_status(status: int, is_certified: bool) -> Ending:
     """Return the ending that the status of a whole response stands for."""
-    if is_certified and status == 503:
+    if is_certified and status == MISDIRECTED:
+        return Misdirected()
+    if is_certified and status in CERTIFIABLE:
         return CertifiedNotRun(status)
     if status in (500, 502, 503, 504):
         return ServerFault(status)
--- a/src/galenaferry/backends/directory.py
+++ b/src/galenaferry/backends/directory.py
@@ -19,7 +19,7 @@
     choose_owned,
     cold_weight,
 )
-from .messages import Instance, Load, Shares
+from .messages import Ask, Instance, Load, Shares
 from .ownership import Vm, owned_slots
 from .pool import InstancePool
 
@@ -50,6 +50,34 @@
         """Return the weights of all instances and which are on trial."""
 
 
+class Backends(Protocol):
+    """What the request path needs of the instances of all services."""
+
+    zone: str
+    on_capacity: Callable[[str], None]
+
+    def has_service(self, service: str) -> bool:
+        """Whether a service is known, with or without instances."""
+
+    def choose(self, ask: Ask, shares: Shares, may_borrow: bool) -> Choice:
+        """Return the choice for the next attempt of a request."""
+
+    def shares(self, policy: Policy) -> Shares:
+        """Return this VM's part of an instance's connections and slots."""
+
+    def pool(self, instance: Instance) -> InstancePool:
+        """Return the pool of an instance."""
+
+    def borrowing(self, service: str) -> Borrowing:
+        """Return what is known of borrowing slots of a service."""
+
+    def note_draining(self, address: str) -> None:
+        """Send an instance nothing new for a while, since it says that it drains."""
+
+    def close_idle(self) -> None:
+        """Close connections that were idle too long."""
+
+
 class Directory:
     """Instances by service, with a pool for each that was used.
 
@@ -126,15 +154,11 @@
             borrowing = self._borrowing_by_service[service] = Borrowing()
         return borrowing
 
-    def choose(
-        self,
-        service: str,
-        tried: frozenset[str],
-        policy: Policy,
-        shares: Shares,
-        may_borrow: bool,
-        is_repeatable: bool,
-    ) -> Choice:
+    def has_service(self, service: str) -> bool:
+        """Whether the list names an instance of a service."""
+        return service in self.by_service
+
+    def choose(self, ask: Ask, shares: Shares, may_borrow: bool) -> Choice:
         """Return the choice for the next attempt of a request.
 
         Without ``may_borrow`` a request waits for a slot that this VM owns,
@@ -142,6 +166,7 @@
         trial, unless the service has had no other work for a minute.
         """
         now = self._loop.clock.now()
+        service, _, policy, tried, is_repeatable = ask
         if is_repeatable:
             self._repeatable_seen_at[service] = now
         candidates = self._candidates(service, policy, is_repeatable, now)
--- a/src/galenaferry/backends/pool.py
+++ b/src/galenaferry/backends/pool.py
@@ -44,6 +44,11 @@
         """Number of open connections."""
         return self._open_count
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a connection waits for its next request."""
+        return bool(self._idle)
+
     def load(self, shares: Shares) -> Load:
         """Return the load as the choice of an instance needs it."""
         window = self._window.size(min(shares.connections, shares.slots))
--- a/src/galenaferry/claims/component.py
+++ b/src/galenaferry/claims/component.py
@@ -8,8 +8,8 @@
 
 from ..clock import Millis
 from ..network.loop import Loop
-from ..platform.client import PlatformClient
-from ..platform.messages import ABSENT, Condition, PlatformError, Row
+from ..store.client import PlatformClient
+from ..store.messages import ABSENT, Condition, PlatformError, Row
 from .messages import (
     ClaimOutcome,
     ClaimRow,
--- a/src/galenaferry/claims/tests/builders.py
+++ b/src/galenaferry/claims/tests/builders.py
@@ -7,7 +7,7 @@
 from galenaferry.claims.messages import KeyedRequest
 from galenaferry.clock import FakeClock
 from galenaferry.network.loop import Loop
-from galenaferry.platform.messages import Committed, Conflict, PlatformError, Row
+from galenaferry.store.messages import Committed, Conflict, PlatformError, Row
 
 LOST = PlatformError("the answer was lost", True)
 ANSWER_MS = 2.0
--- a/src/galenaferry/claims/writer.py
+++ b/src/galenaferry/claims/writer.py
@@ -7,8 +7,8 @@
 from result import Err, Result
 
 from ..network.loop import Loop
-from ..platform.client import PlatformClient
-from ..platform.messages import (
+from ..store.client import PlatformClient
+from ..store.messages import (
     Committed,
     Condition,
     Conflict,
--- a/src/galenaferry/configuration/acceptance.py
+++ b/src/galenaferry/configuration/acceptance.py
@@ -16,8 +16,8 @@
 from ..clock import Millis
 from ..findings import Finding
 from ..network.loop import Loop
-from ..platform.client import PlatformClient
-from ..platform.messages import (
+from ..store.client import PlatformClient
+from ..store.messages import (
     ABSENT,
     Committed,
     Condition,
--- a/src/galenaferry/configuration/component.py
+++ b/src/galenaferry/configuration/component.py
@@ -10,10 +10,10 @@
 from ..clock import Millis
 from ..logs import logger
 from ..network.loop import Loop
-from ..platform.client import PlatformClient
-from ..platform.messages import PlatformError, Row
 from ..spreading.messages import Adoption, LogName, SpreadMessage
 from ..spreading.spreader import PeersOf, Send, Spreader
+from ..store.client import PlatformClient
+from ..store.messages import PlatformError, Row
 from .acceptance import (
     CHANGE_PREFIX,
     HEAD_KEY,
--- a/src/galenaferry/configuration/snapshots.py
+++ b/src/galenaferry/configuration/snapshots.py
@@ -12,8 +12,8 @@
 
 from result import Err, Result
 
-from ..platform.client import PlatformClient
-from ..platform.messages import PlatformError
+from ..store.client import PlatformClient
+from ..store.messages import PlatformError
 from .compact import Configuration, content_digest
 from .document import Sections
 from .messages import Head
--- /dev/null
+++ b/src/galenaferry/discovery/messages.py
@@ -0,0 +1,51 @@
+"""News of a table in the platform's store."""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from result import Result
+
+from ..clock import Millis
+
+
+class TableRow(NamedTuple):
+    """One row; ``value`` is None where the row was removed."""
+
+    key: str
+    value: bytes | None
+
+
+class TableNews(NamedTuple):
+    """Changed rows, in order, or all rows where ``is_whole``.
+
+    ``version`` is the newest version of the store at that moment.
+    """
+
+    version: int
+    rows: tuple[TableRow, ...]
+    is_whole: bool
+
+
+class HistoryLost(NamedTuple):
+    """The store no longer knows what has changed since the asked version."""
+
+
+class TableError(NamedTuple):
+    """The store, or another VM, gave no usable answer."""
+
+    text: str
+
+
+NewsDone = Callable[[Result[TableNews | HistoryLost, TableError]], None]
+
+
+class TableSource(Protocol):
+    """Reads of the platform's store."""
+
+    def read_all(self, table: str, done: NewsDone) -> None:
+        """Read all rows of a table."""
+
+    def read_changes(
+        self, table: str, after: int, wait: Millis, done: NewsDone
+    ) -> None:
+        """Read what changes after a version, waiting for it if need be."""
--- /dev/null
+++ b/src/galenaferry/discovery/peer_copies.py
@@ -0,0 +1,88 @@
+"""Copies of tables that VMs give each other, over HTTP on their own addresses."""
+
+import base64
+import json
+from collections.abc import Callable
+from typing import Any, Final
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from ..clock import Millis
+from ..network.fetch import FetchRequest, FetchResult, fetch
+from ..network.json_server import JsonRequest, JsonResponse
+from ..network.loop import Loop
+from .messages import TableError, TableNews, TableRow
+
+TIMEOUT_MS: Final = 1_000.0
+"""Some round trips between the most distant zones and a lost packet."""
+PATH: Final = "/tables/"
+
+
+def encode_copy(news: TableNews) -> dict[str, Any]:
+    """Return a whole table as JSON data."""
+    rows = [
+        [row.key, base64.b64encode(row.value).decode()]
+        for row in news.rows
+        if row.value is not None
+    ]
+    return {"version": news.version, "rows": rows}
+
+
+def decode_copy(body: bytes) -> TableNews:
+    """Return the whole table in a body.
+
+    Raises
+    ------
+    ValueError
+        When the body is no copy of a table.
+    """
+    try:
+        data = json.loads(body)
+        rows = tuple(
+            TableRow(str(key), base64.b64decode(value)) for key, value in data["rows"]
+        )
+        return TableNews(int(data["version"]), rows, is_whole=True)
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a copy of a table: {error!r}") from None
+
+
+def ask_peer(
+    loop: Loop,
+    address: str,
+    table: str,
+    done: Callable[[Result[TableNews, TableError]], None],
+    timeout: Millis = TIMEOUT_MS,
+) -> None:
+    """Ask the VM at ``address`` (IP:PORT) for its copy of a table."""
+    host, _, port = address.rpartition(":")
+    target = PATH + quote(table, safe="")
+    request = FetchRequest((host, int(port)), "GET", target, timeout=timeout)
+
+    def finish(result: FetchResult) -> None:
+        done(_interpret(result))
+
+    fetch(loop, request, finish)
+
+
+def answer_peer(
+    copy_by_table: dict[str, Callable[[], TableNews]], request: JsonRequest
+) -> JsonResponse:
+    """Answer another VM that asks for a table."""
+    table = request.path.removeprefix(PATH)
+    copy = copy_by_table.get(table)
+    if copy is None or not request.path.startswith(PATH):
+        return JsonResponse(404, {"error": "no such table"})
+    return JsonResponse(200, encode_copy(copy()))
+
+
+def _interpret(result: FetchResult) -> Result[TableNews, TableError]:
+    if isinstance(result, Err):
+        return Err(TableError(result.err_value.text))
+    response = result.ok_value
+    if response.status != 200:
+        return Err(TableError(f"status {response.status}"))
+    try:
+        return Ok(decode_copy(response.body))
+    except ValueError as error:
+        return Err(TableError(str(error)))
--- a/src/galenaferry/drain/component.py
+++ b/src/galenaferry/drain/component.py
@@ -8,7 +8,7 @@
 from ..clock import Millis
 from ..logs import logger
 from ..network.loop import Loop
-from .decisions import Announce, Exit, Finish, Serve, next_step
+from .decisions import LONGEST_DRAIN_MS, Announce, Exit, Finish, Serve, next_step
 
 CHECK_MS: Final = 50.0
 
@@ -27,6 +27,8 @@
         Gives the number of requests in progress.
     on_announce, on_finish : callable
         Called once when the step is reached.
+    longest : float
+        Time for requests in flight beyond ``wait``, in milliseconds.
     """
 
     channel = "drain"
@@ -38,8 +40,10 @@
         in_flight: Callable[[], int],
         on_announce: Callable[[], None],
         on_finish: Callable[[], None],
+        longest: Millis = LONGEST_DRAIN_MS,
     ) -> None:
         super().__init__()
+        self._longest = longest
         self._loop = loop
         self._wait = wait
         self._in_flight = in_flight
@@ -68,7 +72,11 @@
 
     def _check(self) -> None:
         step = next_step(
-            self._asked_at, self._wait, self._in_flight(), self._loop.clock.now()
+            self._asked_at,
+            self._wait,
+            self._in_flight(),
+            self._loop.clock.now(),
+            self._longest,
         )
         match step:
             case Serve() | Announce():
--- a/src/galenaferry/drain/decisions.py
+++ b/src/galenaferry/drain/decisions.py
@@ -32,7 +32,11 @@
 
 
 def next_step(
-    asked_at: Millis | None, wait: Millis, in_flight: int, now: Millis
+    asked_at: Millis | None,
+    wait: Millis,
+    in_flight: int,
+    now: Millis,
+    longest: Millis = LONGEST_DRAIN_MS,
 ) -> DrainStep:
     """Return the step that a stop is at.
 
@@ -45,11 +49,13 @@
     in_flight : int
         Number of requests in progress.
     now : float
+    longest : float
+        Time for requests in flight beyond ``wait``, in milliseconds.
     """
     if asked_at is None:
         return Serve()
     if now - asked_at < wait:
         return Announce()
-    if in_flight and now - asked_at < wait + LONGEST_DRAIN_MS:
+    if in_flight and now - asked_at < wait + longest:
         return Finish()
     return Exit()
--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -20,7 +20,7 @@
 from .drain.component import DrainComponent
 from .findings import describe
 from .health.component import HealthComponent
-from .health.messages import Report, Verdicts
+from .health.messages import Outcomes, Report, Verdicts
 from .logs import logger, set_up_logs
 from .membership.component import Described, MembershipComponent
 from .membership.messages import Heartbeat, Member
@@ -29,12 +29,12 @@
 from .network.loop import Loop
 from .peers.codec import Message, PeerKeys
 from .peers.component import PeersComponent
-from .platform.client import PlatformClient
 from .requests.component import RequestsComponent
 from .requests.context import RequestContext
 from .routing.table import RouteTable
 from .settings import Settings, read_settings
 from .spreading.messages import LogName, SpreadMessage
+from .store.client import PlatformClient
 
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_CANNOT_SERVE: Final = 1
@@ -87,16 +87,17 @@
         self.claims = ClaimsComponent(
             self.loop, platform, lambda: self.directory.live_vms
         ).register(self)
+        self._routes = self._route_table()
         self.context = RequestContext(
             self.loop,
             self.directory,
-            self._route_table(),
+            self._routes,
             self.health,
             random,
             self.claims,
         )
         self.loop.every(SHARE_MS, self._share_capacity)
-        self.health.routes = self.context.routes
+        self.health.routes = self._routes
         self.configuration.live_fleet = self._live_fleet
         self.configuration.is_outage_attested = self.membership.is_outage_attested
         self.health.is_cold = self.directory.is_cold
@@ -142,9 +143,12 @@
         """Hand verdicts on."""
         self.health.on_verdicts(sender, verdicts)
 
+    def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
+        """Do nothing: here evidence goes through homes."""
+
     @handler("configuration_changed", channel="*")
     def _on_configuration_changed(self) -> None:
-        self.context.routes.use(self.configuration.store.configuration)
+        self._routes.use(self.configuration.store.configuration)
         self.directory.forget_cache()
 
     def is_ready(self) -> tuple[bool, str]:
--- a/src/galenaferry/health/messages.py
+++ b/src/galenaferry/health/messages.py
@@ -5,6 +5,8 @@
 
 import xxhash
 
+from .beliefs import Outcome
+
 
 class HealthState(IntEnum):
     """Health of an instance as the fleet sees it."""
@@ -52,6 +54,22 @@
     verdicts: tuple[Verdict, ...]
 
 
+class Shown(NamedTuple):
+    """What one attempt showed of the instance with ``key``."""
+
+    key: int
+    outcome: Outcome
+
+
+class Outcomes(NamedTuple):
+    """Outcomes at one VM that change what others should expect of instances."""
+
+    shown: tuple[Shown, ...]
+
+
 def instance_key(address: str) -> int:
-    """Return the 64-bit key that stands for an instance between VMs."""
+    """Return the 64-bit key that stands for an instance between VMs.
+
+    ``address`` is whatever names the instance at every VM.
+    """
     return xxhash.xxh64_intdigest(address.encode())
--- a/src/galenaferry/membership/component.py
+++ b/src/galenaferry/membership/component.py
@@ -10,16 +10,15 @@
 from ..backends.messages import Instance
 from ..clock import Millis
 from ..network.loop import Loop
-from ..platform.client import PlatformClient
-from ..platform.messages import PlatformError, VmListAnswer
 from ..spreading.messages import LogName, SpreadMessage
 from ..spreading.spreader import Send, Spreader
+from ..store.client import PlatformClient
+from ..store.messages import PlatformError, VmListAnswer
+from .heartbeats import HeartbeatPace, Heartbeats
 from .messages import Freshness, Heartbeat, Member
 from .state import MemberTable
 from .vm_list import VmListLog
 
-HEARTBEAT_MS: Final = 500.0
-HEARTBEAT_FANOUT: Final = 3
 FLEET_READS_PER_SECOND: Final = 200.0
 SHORTEST_POLL_MS: Final = 1000.0
 APPLY_DELAY_MS: Final = 50.0
@@ -82,7 +81,9 @@
         self.table.hint(seeds, loop.clock.now())
         self.vm_list = VmListLog()
         self._spreader = Spreader(LogName.VM_LIST, self.vm_list, self.targets)
-        loop.every(HEARTBEAT_MS, self._beat)
+        self._heartbeats = Heartbeats(
+            loop, self.table, HeartbeatPace(), self._send, self._compose
+        )
         self._poll()
 
     @property
@@ -101,10 +102,8 @@
 
     def on_heartbeat(self, sender: Member, heartbeat: Heartbeat) -> None:
         """Take over the sender's entry and its hearsay."""
+        self._heartbeats.on_heartbeat(sender, heartbeat)
         now = self._loop.clock.now()
-        self.table.hear(sender, now)
-        for member in heartbeat.sample:
-            self.table.hear(member, now)
         if sender.region == self.table.me.region:
             revision = heartbeat.list_revision
             sends = self._spreader.on_version(sender.address, revision, now)
@@ -123,7 +122,7 @@
     def leave(self) -> None:
         """Tell others that this VM is about to stop."""
         self.table.me = self.table.me._replace(is_leaving=True)
-        self._beat()
+        self._heartbeats.beat()
 
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON data."""
@@ -136,20 +135,16 @@
             "list_revision": self.vm_list.version,
         }
 
-    def _beat(self) -> None:
-        now = self._loop.clock.now()
+    def _compose(self, sample: tuple[Member, ...]) -> Heartbeat:
         described = self._describe()
         self.table.beat(described.version, described.is_platform_down)
-        self.table.forget(now)
-        heartbeat = Heartbeat(
+        return Heartbeat(
             described.version,
             described.digest,
             described.freshness,
             self.vm_list.version,
-            self.table.sample(now),
+            sample,
         )
-        for address in self.table.targets(HEARTBEAT_FANOUT, now):
-            self._send(address, heartbeat)
 
     def _poll(self) -> None:
         region = self.table.me.region
--- a/src/galenaferry/membership/state.py
+++ b/src/galenaferry/membership/state.py
@@ -71,6 +71,7 @@
     def hear(self, member: Member, now: Millis) -> None:
         """Take over an entry that is newer than the known one."""
         if member.address == self.me.address:
+            self._outlive(member)
             return
         known = self._members.get(member.address)
         if known is None:
@@ -81,6 +82,14 @@
             self._members[member.address] = member
             self._advanced_at[member.address] = now
 
+    def _outlive(self, echo: Member) -> None:
+        """Take a newer incarnation than one that others remember of this VM.
+
+        The time of day, which incarnations come from, may have jumped back.
+        """
+        if echo.incarnation > self.me.incarnation:
+            self.me = self.me._replace(incarnation=echo.incarnation + 1)
+
     def hint(self, members: Iterable[Member], now: Millis) -> None:
         """Take over unknown addresses of the platform's lagging list.
 
--- a/src/galenaferry/membership/tests/test_component.py
+++ b/src/galenaferry/membership/tests/test_component.py
@@ -10,7 +10,7 @@
 from galenaferry.membership.messages import Freshness, Heartbeat, Member
 from galenaferry.membership.vm_list import VmChange, VmRow
 from galenaferry.network.loop import Loop
-from galenaferry.platform.messages import VmListAnswer
+from galenaferry.store.messages import VmListAnswer
 
 ROW = VmRow("10.0.0.9:80", "backend", "s", "north", "andes", "live")
 
--- /dev/null
+++ b/src/galenaferry/node/component.py
@@ -0,0 +1,318 @@
+"""One VM of the fleet: all slices bound to each other."""
+
+import gc
+import json
+import signal
+from random import Random
+from typing import Any, Final
+
+from circuits import Component
+from result import Result
+
+from ..attempts.fleet_budget import FleetBudgets
+from ..backends.messages import Instance
+from ..backends.ownership import Vm
+from ..clock import Millis
+from ..discovery.follower import FollowerSettings, TableFollower
+from ..discovery.messages import TableError, TableNews, TableRow
+from ..discovery.peer_copies import answer_peer, ask_peer
+from ..discovery.registry import StoreAccess
+from ..drain.component import DrainComponent
+from ..health.messages import Outcomes, Report, Verdicts
+from ..logs import logger
+from ..membership.heartbeats import HeartbeatPace, Heartbeats
+from ..membership.messages import Freshness, Heartbeat, Member
+from ..membership.state import MemberTable
+from ..network.json_server import JsonServer
+from ..network.loop import Loop
+from ..peers.codec import PeerKeys
+from ..peers.component import PeersComponent
+from ..placing.component import Placement, PlacementSettings
+from ..requests.component import RequestsComponent
+from ..requests.context import RequestContext
+from ..requests.interface import RequestSettings
+from ..requests.story import Story
+from ..routing.hosts import HostRoutes
+from ..spreading.messages import SpreadMessage
+from .adapter import Adapter
+from .configuration import ConfigurationTable
+from .instances import InstancesTable
+from .settings import NodeSettings
+from .status import StatusInterface
+
+PACE: Final = HeartbeatPace(interval=1_000.0, fanout=2)
+SHARE_MS: Final = 500.0
+"""How often the slots are dealt anew to the VMs that are live."""
+CONFIGURATION_SPACING_MS: Final = 100.0
+INSTANCES_SPACING_MS: Final = 400.0
+"""News that come within this time cost one call; a fifth of the time in which an
+instance that leaves must get nothing new."""
+BALANCER_NOTICES_MS: Final = 3_000.0
+"""Two questions of the balancer, a second apart, and its time-out."""
+STOP_MARGIN_MS: Final = 400.0
+"""Time left for the end of the process within the grace."""
+HELD_BYTES: Final = 1 << 20
+REGISTER_AFTER_MS: Final = 1_000.0
+YOUNG_COLLECTION_THRESHOLD: Final = 10_000
+LONGEST_RETRY_AFTER_MS: Final = 600.0
+SHORTEST_RETRY_AFTER_MS: Final = 150.0
+
+log = logger("node")
+
+
+class Node(Component):
+    """One VM.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+    adapter : callable
+        Gives the platform's adapter on the node's loop.
+    peer_key : bytes
+        Key of the datagrams between VMs.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, loop: Loop, adapter: Adapter, peer_key: bytes
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._adapter = adapter
+        self.loop = loop.register(self)
+        random = Random()
+        self._random = random
+        self.table = MemberTable(self._member(), random)
+        self.table.hint(self._seeds(), loop.clock.now())
+        self.peers = PeersComponent(
+            loop, settings.peers, PeerKeys(peer_key), lambda: self.table.me, self
+        ).register(self)
+        self.placement = Placement(
+            loop,
+            PlacementSettings(settings.zone, settings.floor),
+            random,
+            self._tell_outcomes,
+        )
+        self.routes = HostRoutes(int(settings.budget.ratio * 100.0), random)
+        self.configuration = self._follow(
+            adapter.tables.configuration,
+            CONFIGURATION_SPACING_MS,
+            ConfigurationTable(adapter, self.routes).on_change,
+        )
+        instances = InstancesTable(
+            loop, adapter, self._store_access, self._on_instances
+        )
+        self.instances = self._follow(
+            adapter.tables.instances, INSTANCES_SPACING_MS, instances.on_change
+        )
+        self._heartbeats = Heartbeats(
+            loop, self.table, PACE, self.peers.send, self._compose
+        )
+        self.context = RequestContext(
+            loop,
+            self.placement,
+            self.routes,
+            self.placement,
+            random,
+            settings=RequestSettings(
+                names=adapter.headers,
+                held_bytes=HELD_BYTES,
+                leaves_by_half_close=True,
+                shed_patience=0.0,
+                do_sheds_count=True,
+                do_refusals_promise=True,
+                do_uploads_extend=False,
+                certifying_statuses=None,
+            ),
+            budgets=FleetBudgets(settings.budget, loop.clock, self._fleet_size),
+            limits=lambda: self.routes.limits,
+            retry_after=self._retry_after,
+            on_story=self._on_story,
+        )
+        self.requests = RequestsComponent(self.context, settings.callers).register(self)
+        self.drain = DrainComponent(
+            loop,
+            BALANCER_NOTICES_MS,
+            lambda: self.requests.in_flight,
+            self._on_drain_announced,
+            self.requests.stop_accepting,
+            settings.grace - BALANCER_NOTICES_MS - STOP_MARGIN_MS,
+        ).register(self)
+        status = StatusInterface(self.is_ready, self.dump, self.context.counters)
+        JsonServer(settings.readiness, status.respond).register(self)
+        copies = {
+            adapter.tables.configuration: self.configuration.copy,
+            adapter.tables.instances: self.instances.copy,
+        }
+        JsonServer(
+            settings.peers, lambda request: answer_peer(copies, request)
+        ).register(self)
+        loop.every(SHARE_MS, self._share_capacity)
+        loop.after(REGISTER_AFTER_MS * random.random(), self._register_vm)
+        # The default action of this signal ends the process.
+        signal.signal(signal.SIGHUP, lambda number, frame: self._on_hangup())
+        self.configuration.begin()
+        self.instances.begin()
+
+    def is_ready(self) -> tuple[bool, str]:
+        """Return whether callers may come, and the reason if not."""
+        if self.drain.is_asked:
+            return False, "stopping"
+        if not self.routes.version:
+            return False, "no configuration is known yet"
+        if not self.instances.is_known:
+            return False, "the instances are not known yet"
+        return True, "ready"
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of all slices as JSON data."""
+        is_ready, reason = self.is_ready()
+        now = self.loop.clock.now()
+        return {
+            "vm": {
+                "name": self._settings.name,
+                "zone": self._settings.zone,
+                "ready": is_ready,
+                "reason": reason,
+            },
+            "configuration": {
+                "version": self.routes.version,
+                "store_version": self.configuration.version,
+                "store_away": self.configuration.is_away,
+            },
+            "instances": {
+                "store_version": self.instances.version,
+                "store_away": self.instances.is_away,
+                "by_service": self.placement.dump(),
+            },
+            "members": sorted(m.address for m in self.table.live(now)),
+            "peers": self.peers.dump(),
+        }
+
+    def on_heartbeat(self, sender: Member, heartbeat: Heartbeat) -> None:
+        """Take over what another VM tells of itself and of its tables."""
+        self._heartbeats.on_heartbeat(sender, heartbeat)
+        self.configuration.on_peer_version(sender.address, heartbeat.version)
+        self.instances.on_peer_version(sender.address, heartbeat.list_revision)
+
+    def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
+        """Take over what another VM saw of instances."""
+        self.placement.on_outcomes(outcomes)
+
+    def on_spread(self, sender: Member, message: SpreadMessage) -> None:
+        """Do nothing: the store orders the configuration here."""
+
+    def on_report(self, sender: Member, report: Report) -> None:
+        """Do nothing: every VM judges by single outcomes here."""
+
+    def on_verdicts(self, sender: Member, verdicts: Verdicts) -> None:
+        """Do nothing: every VM judges by single outcomes here."""
+
+    def _on_hangup(self) -> None:
+        log.info("the settings file may have changed")
+
+    def _follow(self, table: str, spacing: Millis, on_change: Any) -> TableFollower:
+        return TableFollower(
+            self.loop,
+            FollowerSettings(table, spacing),
+            self._adapter.store,
+            self._ask_peer,
+            self._random,
+            on_change,
+        )
+
+    def _ask_peer(self, address: str, table: str, done: Any) -> None:
+        ask_peer(self.loop, address, table, done)
+
+    def _store_access(self) -> StoreAccess:
+        return StoreAccess(self.instances.is_away, self.instances.failed_at)
+
+    def _on_instances(self, instances: tuple[Instance, ...]) -> None:
+        self.placement.replace(instances)
+
+    def _tell_outcomes(self, outcomes: Outcomes) -> None:
+        for member in self.table.live_in_region(self.loop.clock.now()):
+            if member.address != self.table.me.address:
+                self.peers.send(member.address, outcomes)
+
+    def _compose(self, sample: tuple[Member, ...]) -> Heartbeat:
+        version = self.configuration.version
+        self.table.beat(version, self.configuration.is_away)
+        return Heartbeat(version, "", Freshness(0), self.instances.version, sample)
+
+    def _member(self) -> Member:
+        settings = self._settings
+        address = f"{settings.peers[0]}:{settings.peers[1]}"
+        incarnation = int(self.loop.clock.wall())
+        return Member(address, incarnation, 0, settings.zone, settings.region, False, 0)
+
+    def _seeds(self) -> tuple[Member, ...]:
+        settings = self._settings
+        return tuple(
+            Member(f"{host}:{port}", 0, 0, "", settings.region, False, 0)
+            for host, port in settings.seeds
+        )
+
+    def _register_vm(self) -> None:
+        """Tell the others where this VM is, and read where they are."""
+        me = self.table.me
+        value = json.dumps([me.address, me.zone, me.region]).encode()
+        self._adapter.store.put(
+            self._adapter.tables.vms, self._settings.name, value, self._on_registered
+        )
+
+    def _on_registered(self, error: str) -> None:
+        if error:
+            log.warning("this VM could not be registered", error=error)
+            self.loop.after(REGISTER_AFTER_MS, self._register_vm)
+            return
+        self.loop.after(REGISTER_AFTER_MS, self._read_vms)
+
+    def _read_vms(self) -> None:
+        self._adapter.store.read_all(self._adapter.tables.vms, self._on_vms)
+
+    def _on_vms(self, result: Result[Any, TableError]) -> None:
+        news = result.ok()
+        if not isinstance(news, TableNews):
+            log.warning("the list of VMs could not be read")
+            self.loop.after(REGISTER_AFTER_MS, self._read_vms)
+            return
+        members = [self._listed_vm(row) for row in news.rows if row.value]
+        self.table.hint(members, self.loop.clock.now())
+
+    def _listed_vm(self, row: TableRow) -> Member:
+        address, zone, region = json.loads(row.value or b"[]")
+        return Member(str(address), 0, 0, str(zone), str(region), False, 0)
+
+    def _fleet_size(self) -> int:
+        """Return how many VMs may be making further attempts now."""
+        return len(self.table.known()) + 1
+
+    def _share_capacity(self) -> None:
+        live = self.table.live_in_region(self.loop.clock.now())
+        vms = tuple(sorted(Vm(member.address, member.zone) for member in live))
+        me = self.table.me
+        self.placement.share_with(Vm(me.address, me.zone), vms)
+
+    def _retry_after(self, service: str) -> Millis:
+        """Return when a refused caller may come back, spread at random."""
+        spread = LONGEST_RETRY_AFTER_MS - SHORTEST_RETRY_AFTER_MS
+        return SHORTEST_RETRY_AFTER_MS + spread * self._random.random()
+
+    def _on_story(self, story: Story) -> None:
+        fields = story.fields(self.loop.clock.now())
+        log.info("request", **fields)
+
+    def _on_drain_announced(self) -> None:
+        self.context.is_stopping = True
+        self.table.me = self.table.me._replace(is_leaving=True)
+        self._heartbeats.beat()
+
+
+def run(node: Node, name: str) -> None:
+    """Serve until the planned stop is over."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_COLLECTION_THRESHOLD)
+    log.info("started", vm=name)
+    node.run()
+    log.info("stopped", vm=name)
--- /dev/null
+++ b/src/galenaferry/node/configuration.py
@@ -0,0 +1,58 @@
+"""Puts the newest configuration of the store in force."""
+
+from result import Err
+
+from ..discovery.messages import TableRow
+from ..logs import logger
+from ..routing.hosts import HostRoutes
+from .adapter import Adapter
+
+log = logger("configuration")
+
+
+class ConfigurationTable:
+    """Takes the row of the configuration whenever it changes.
+
+    Parameters
+    ----------
+    adapter : Adapter
+    routes : HostRoutes
+    """
+
+    def __init__(self, adapter: Adapter, routes: HostRoutes) -> None:
+        self._adapter = adapter
+        self._routes = routes
+
+    def on_change(self, rows: tuple[TableRow, ...]) -> None:
+        """Put a newer configuration in force; the last good one stays otherwise."""
+        for row in rows:
+            if row.key == self._adapter.tables.configuration_key:
+                self._use(row)
+
+    def _use(self, row: TableRow) -> None:
+        if row.value is None:
+            log.warning("the configuration was removed from the store")
+            return
+        result = self._adapter.decode_configuration(row.value)
+        before = self._routes.version
+        if isinstance(result, Err):
+            log.error(
+                "the configuration can't be read",
+                error=result.err_value,
+                in_force=before,
+            )
+            return
+        document = result.ok_value
+        if self._routes.use(document):
+            log.info(
+                "configuration in force",
+                version=document.version,
+                before=before,
+                routes=len(document.routes),
+            )
+        else:
+            log.warning(
+                "an older configuration was left out",
+                offered=document.version,
+                in_force=before,
+            )
--- /dev/null
+++ b/src/galenaferry/node/settings.py
@@ -0,0 +1,32 @@
+"""What a VM of such a fleet is told at its start."""
+
+from typing import NamedTuple
+
+from ..attempts.fleet_budget import BudgetBounds
+from ..clock import Millis
+
+Address = tuple[str, int]
+
+
+class NodeSettings(NamedTuple):
+    """Addresses and bounds of one VM; times in milliseconds.
+
+    ``callers``, ``readiness`` and ``peers`` are the addresses that it listens on for
+    requests, for the balancer and operators, and for other VMs (TCP and UDP).
+    ``drain_after`` is the time after which an instance that leaves must get nothing
+    new, ``grace`` the time between the request to stop and the end of the process,
+    and ``floor`` the part of a service's sound instances that always get work.
+    """
+
+    name: str
+    zone: str
+    region: str
+    callers: Address
+    readiness: Address
+    peers: Address
+    seeds: tuple[Address, ...]
+    store: Address
+    drain_after: Millis
+    grace: Millis
+    floor: float
+    budget: BudgetBounds
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -8,7 +8,16 @@
 import capnp
 from result import Err, Ok, Result
 
-from ..health.messages import Counts, HealthState, Report, Verdict, Verdicts
+from ..health.beliefs import Outcome
+from ..health.messages import (
+    Counts,
+    HealthState,
+    Outcomes,
+    Report,
+    Shown,
+    Verdict,
+    Verdicts,
+)
 from ..membership.messages import Freshness, Heartbeat, Member
 from ..spreading.messages import LogName, Page, PagePull, Pull, Push
 
@@ -18,7 +27,7 @@
 LARGEST_AGE_MS: Final = 0xFFFF_FFFF
 LARGEST_COUNT: Final = 0xFFFF_FFFF
 
-Message = Heartbeat | Push | Pull | PagePull | Page | Report | Verdicts
+Message = Heartbeat | Push | Pull | PagePull | Page | Report | Verdicts | Outcomes
 
 
 class Datagram(NamedTuple):
@@ -115,6 +124,11 @@
             _fill_counts(body.init("report", len(counts)), counts)
         case Verdicts(verdicts):
             _fill_verdicts(body.init("verdicts", len(verdicts)), verdicts)
+        case Outcomes(shown):
+            target = body.init("outcomes", len(shown))
+            for number, row in enumerate(shown):
+                target[number].key = row.key
+                target[number].outcome = int(row.outcome)
 
 
 def _fill_page(target: Any, page: Page) -> None:
@@ -181,6 +195,9 @@
                     for row in body.verdicts
                 )
             )
+        case "outcomes":
+            rows = (Shown(row.key, Outcome(row.outcome)) for row in body.outcomes)
+            return Outcomes(tuple(rows))
     raise ValueError("unknown message")
 
 
--- a/src/galenaferry/peers/component.py
+++ b/src/galenaferry/peers/component.py
@@ -6,7 +6,7 @@
 from circuits import BaseComponent
 from result import Err
 
-from ..health.messages import Report, Verdicts
+from ..health.messages import Outcomes, Report, Verdicts
 from ..logs import logger
 from ..membership.messages import Heartbeat, Member
 from ..network.datagrams import Address, DatagramSocket
@@ -32,6 +32,9 @@
     def on_verdicts(self, sender: Member, verdicts: Verdicts) -> None:
         """Take verdicts."""
 
+    def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
+        """Take outcomes of single attempts."""
+
 
 class PeersComponent(BaseComponent):
     """Datagrams to and from the other VMs of the fleet.
@@ -102,6 +105,8 @@
                 self._receivers.on_report(sender, message)
             case Verdicts():
                 self._receivers.on_verdicts(sender, message)
+            case Outcomes():
+                self._receivers.on_outcomes(sender, message)
 
     def _on_spread(self, sender: Member, message: SpreadMessage) -> None:
         try:
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -59,6 +59,11 @@
   badness @3 :Float32;
 }
 
+struct Outcome {
+  key @0 :UInt64;
+  outcome @1 :UInt8;
+}
+
 struct Datagram {
   sender @0 :Member;
   body :union {
@@ -69,5 +74,6 @@
     page @5 :Page;
     report @6 :List(Counts);
     verdicts @7 :List(Verdict);
+    outcomes @8 :List(Outcome);
   }
 }
--- /dev/null
+++ b/src/galenaferry/placing/component.py
@@ -0,0 +1,286 @@
+"""Instances, their connections and beliefs, bound to the request path."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any, Final, NamedTuple
+
+import xxhash
+
+from ..attempts.messages import Evidence
+from ..backends.borrowing import Borrowing
+from ..backends.choice import Choice
+from ..backends.messages import Ask, Instance, Shares
+from ..backends.ownership import Vm, owned_slots
+from ..backends.pool import InstancePool
+from ..clock import Millis
+from ..configuration.policy import Policy
+from ..health.beliefs import Belief, Beliefs, Outcome, SicknessModel
+from ..health.evidence import SlowLimit
+from ..health.messages import Outcomes, Shown, instance_key
+from ..network.loop import Loop
+from .decisions import Option, Wish, choose_option
+from .reach import Reach
+
+CONNECTION_RESERVE: Final = 0.9
+"""Part of an instance's connections that the fleet uses; the rest is for VMs
+that are being replaced."""
+TRIERS: Final = 2
+"""VMs that try an instance that was sick before the others use it again."""
+FAILED_SPAN_MS: Final = 2_000.0
+"""Time after a failure for which an instance is not taken for sound."""
+TOLD_ABOVE: Final = 0.3
+"""Sickness from which a good answer is news to other VMs."""
+SLOW_FACTOR: Final = 2.0
+"""An answer is slow beyond this many times what nine in ten stay below."""
+SIZE_WEIGHT: Final = 0.2
+"""Weight of the newest answer in the usual size of a route's answers."""
+
+OUTCOME_BY_EVIDENCE: Final = {
+    Evidence.SUCCESS: Outcome.GOOD,
+    Evidence.FAILURE: Outcome.FAILED,
+    Evidence.LINK: Outcome.UNREACHABLE,
+    Evidence.CONNECTION: Outcome.DOUBTFUL,
+    Evidence.SHED: Outcome.SHED,
+}
+
+
+class PlacementSettings(NamedTuple):
+    """Settings of placing; ``floor`` is the part of sound instances to use."""
+
+    zone: str
+    floor: float
+    model: SicknessModel = SicknessModel()
+
+
+class Placement:
+    """Instances of all services, as ``backends.directory.Backends`` has it.
+
+    Parameters
+    ----------
+    loop : Loop
+    settings : PlacementSettings
+    random : Random
+    tell : callable
+        Sends outcomes to the other VMs.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        settings: PlacementSettings,
+        random: Random,
+        tell: Callable[[Outcomes], None],
+    ) -> None:
+        self._loop = loop
+        self._settings = settings
+        self._random = random
+        self._tell = tell
+        self._untold: list[Shown] = []
+        self._beliefs = Beliefs(settings.model)
+        self._reach = Reach()
+        self._name_by_key: dict[int, str] = {}
+        self._instance_by_address: dict[str, Instance] = {}
+        self._pool_by_name: dict[str, InstancePool] = {}
+        self._slow_by_class: dict[tuple[str, bool], SlowLimit] = {}
+        self._kb_by_route: dict[str, float] = {}
+        self._borrowing = Borrowing()
+        self._me = Vm("", settings.zone)
+        self._vms: tuple[Vm, ...] = (self._me,)
+        self._owned_by_service: dict[str, dict[str, int]] = {}
+        self._triers_by_name: dict[str, bool] = {}
+        self.zone = settings.zone
+        self.by_service: dict[str, tuple[Instance, ...]] = {}
+        self.on_capacity: Callable[[str], None] = lambda service: None
+
+    def replace(self, instances: Iterable[Instance]) -> None:
+        """Take over the newest list; instances that left get nothing new."""
+        by_service: dict[str, list[Instance]] = {}
+        present = [i for i in instances if not i.is_leaving]
+        for instance in present:
+            by_service.setdefault(instance.service, []).append(instance)
+        self.by_service = {name: tuple(rows) for name, rows in by_service.items()}
+        self._instance_by_address = {i.address: i for i in present}
+        names = frozenset(i.name for i in present)
+        self._name_by_key = {instance_key(name): name for name in names}
+        self._beliefs.keep(names)
+        self._reach.keep(names)
+        for name in self._pool_by_name.keys() - names:
+            self._pool_by_name.pop(name).close_all_idle()
+        self._owned_by_service.clear()
+        self._triers_by_name.clear()
+
+    def share_with(self, me: Vm, vms: tuple[Vm, ...]) -> None:
+        """Share the slots with the VMs that are live now."""
+        if vms != self._vms:
+            self._me = me
+            self._vms = vms
+            self._owned_by_service.clear()
+            self._triers_by_name.clear()
+
+    def has_service(self, service: str) -> bool:
+        """Return True: a service without instances is refused, not denied."""
+        return True
+
+    def choose(self, ask: Ask, shares: Shares, may_borrow: bool) -> Choice:
+        """Return the choice for the next attempt of a request."""
+        now = self._loop.clock.now()
+        owned = self._owned(ask.service, ask.policy)
+        options = [
+            self._option(instance, owned, shares, now)
+            for instance in self.by_service.get(ask.service, ())
+            if instance.address not in ask.tried
+        ]
+        wish = Wish(
+            is_repeatable=ask.is_repeatable,
+            answer_kb=self._kb_by_route.get(ask.route, 1.0),
+            floor=self._settings.floor,
+        )
+        return choose_option(options, wish, self._random)
+
+    def shares(self, policy: Policy) -> Shares:
+        """Return this VM's part of an instance's connections and slots."""
+        usable = policy.connections_per_instance * CONNECTION_RESERVE
+        return Shares(
+            connections=max(1, int(usable / len(self._vms))),
+            slots=policy.slots_per_instance,
+        )
+
+    def pool(self, instance: Instance) -> InstancePool:
+        """Return the pool of an instance."""
+        pool = self._pool_by_name.get(instance.name)
+        if pool is None:
+            service = instance.service
+            pool = InstancePool(self._loop, instance, lambda: self.on_capacity(service))
+            self._pool_by_name[instance.name] = pool
+        return pool
+
+    def borrowing(self, service: str) -> Borrowing:
+        """Return what is known of borrowing, which decides nothing here."""
+        return self._borrowing
+
+    def note_draining(self, address: str) -> None:
+        """Do nothing: the list tells which instances drain."""
+
+    def close_idle(self) -> None:
+        """Close connections that were idle too long."""
+        for pool in self._pool_by_name.values():
+            pool.close_idle()
+
+    def observe(
+        self,
+        service: str,
+        address: str,
+        route: str,
+        target: bytes,
+        evidence: Evidence,
+        latency: Millis,
+    ) -> None:
+        """Take the end of one attempt (see ``requests.context.Observer``)."""
+        instance = self._instance_by_address.get(address)
+        outcome = OUTCOME_BY_EVIDENCE.get(evidence)
+        if instance is None or outcome is None:
+            return
+        now = self._loop.clock.now()
+        if outcome is Outcome.GOOD:
+            self._reach.on_answer(instance.name)
+            if self._is_slow(route, instance, latency):
+                outcome = Outcome.SLOW
+        elif outcome is Outcome.UNREACHABLE:
+            self._reach.on_failure(instance.name, now)
+        belief = self._beliefs.of(instance.name, now)
+        is_news = outcome is not Outcome.GOOD or belief.sick(now) > TOLD_ABOVE
+        belief.add(outcome, now)
+        if is_news:
+            self._tell_soon(Shown(instance_key(instance.name), outcome))
+
+    def on_outcomes(self, outcomes: Outcomes) -> None:
+        """Take over what another VM saw."""
+        now = self._loop.clock.now()
+        for shown in outcomes.shown:
+            name = self._name_by_key.get(shown.key)
+            if name is not None:
+                self._beliefs.of(name, now).add(shown.outcome, now)
+
+    def note_size(self, route: str, size: int) -> None:
+        """Learn the size in bytes of a route's answers."""
+        known = self._kb_by_route.get(route, size / 1024.0)
+        self._kb_by_route[route] = known + SIZE_WEIGHT * (size / 1024.0 - known)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON data."""
+        now = self._loop.clock.now()
+        return {
+            service: {
+                instance.name: {
+                    "address": instance.address,
+                    "zone": instance.zone,
+                    "sick": round(self._belief(instance, now).sick(now), 3),
+                    "lost": self._reach.is_lost(instance.name, now),
+                }
+                for instance in instances
+            }
+            for service, instances in self.by_service.items()
+        }
+
+    def _option(
+        self, instance: Instance, owned: dict[str, int], shares: Shares, now: Millis
+    ) -> Option:
+        belief = self._belief(instance, now)
+        pool = self._pool_by_name.get(instance.name)
+        is_paused = pool is not None and pool.load(shares).paused_until > now
+        return Option(
+            instance=instance,
+            sick=belief.sick(now),
+            is_trier=self._is_trier(instance),
+            is_warm=pool is not None and pool.has_idle,
+            is_own=instance.address in owned,
+            is_remote=instance.zone != self.zone,
+            is_cold=instance.cold_until > now,
+            in_flight=0 if pool is None else pool.in_flight,
+            failed_lately=now - belief.failed_at < FAILED_SPAN_MS,
+            is_avoided=is_paused or self._reach.is_lost(instance.name, now),
+        )
+
+    def _belief(self, instance: Instance, now: Millis) -> Belief:
+        return self._beliefs.of(instance.name, now)
+
+    def _owned(self, service: str, policy: Policy) -> dict[str, int]:
+        owned = self._owned_by_service.get(service)
+        if owned is None:
+            listed = self.by_service.get(service, ())
+            slots = policy.slots_per_instance
+            owned = owned_slots(self._me, self._vms, service, listed, slots)
+            self._owned_by_service[service] = owned
+        return owned
+
+    def _is_trier(self, instance: Instance) -> bool:
+        """Whether this VM is one of the few that try an instance early."""
+        known = self._triers_by_name.get(instance.name)
+        if known is None:
+            near = [vm for vm in self._vms if vm.zone == instance.zone] or self._vms
+            ranked = sorted(near, key=lambda vm: _hash(vm.address, instance.name))
+            known = self._me in ranked[:TRIERS]
+            self._triers_by_name[instance.name] = known
+        return known
+
+    def _is_slow(self, route: str, instance: Instance, latency: Millis) -> bool:
+        place = (route, instance.zone == self.zone)
+        limit = self._slow_by_class.get(place)
+        if limit is None:
+            limit = self._slow_by_class[place] = SlowLimit()
+        usual = limit.value
+        limit.is_slow(latency)
+        return 0.0 < SLOW_FACTOR * usual < latency
+
+    def _tell_soon(self, shown: Shown) -> None:
+        if not self._untold:
+            self._loop.soon(self._tell_all)
+        self._untold.append(shown)
+
+    def _tell_all(self) -> None:
+        untold, self._untold = self._untold, []
+        self._tell(Outcomes(tuple(untold)))
+
+
+def _hash(first: str, second: str) -> int:
+    return xxhash.xxh64_intdigest(f"{first}\n{second}".encode())
--- a/src/galenaferry/platform/__init__.py
+++ b/src/galenaferry/platform/__init__.py
@@ -1,1 +1,4 @@
-"""The platform's table service, object store and VM list, met over HTTP."""
+"""The users' platform: its names, formats and calls, translated at this boundary.
+
+Nothing here decides, and nothing outside knows the platform's words.
+"""
--- /dev/null
+++ b/src/galenaferry/platform/__main__.py
@@ -0,0 +1,72 @@
+"""The daemon of a VM on the users' platform."""
+
+import os
+import sys
+from pathlib import Path
+from typing import Final
+
+from result import Err
+
+from ..findings import describe
+from ..logs import set_up_logs
+from ..network.loop import Loop
+from ..node.adapter import Adapter, TableNames
+from ..node.component import Node, run
+from ..node.settings import NodeSettings
+from .documents import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    INSTANCES_TABLE,
+    VMS_TABLE,
+    decode_configuration,
+    decode_instance,
+)
+from .headers import HEADER_NAMES
+from .settings import read_node_file
+from .store import StoreClient
+
+SETTINGS_VARIABLE: Final = "GALENAFERRY_NODE_FILE"
+PEER_KEY_VARIABLE: Final = "GALENAFERRY_PEER_KEY"
+EXIT_BAD_SETTINGS: Final = 2
+EXIT_CANNOT_SERVE: Final = 1
+
+
+def main() -> None:
+    """Read the node file and serve."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        sys.stderr.write(f"{SETTINGS_VARIABLE}: {error}\n")
+        raise SystemExit(EXIT_BAD_SETTINGS) from None
+    result = read_node_file(str(path), text)
+    if isinstance(result, Err):
+        sys.stderr.write(describe(result.err_value) + "\n")
+        raise SystemExit(EXIT_BAD_SETTINGS)
+    set_up_logs(True, sys.stdout)
+    settings = result.ok_value
+    peer_key = os.environ.get(PEER_KEY_VARIABLE, "").encode()
+    loop = Loop()
+    try:
+        node = Node(settings, loop, make_adapter(settings, loop), peer_key)
+        run(node, settings.name)
+    except OSError as error:
+        sys.stderr.write(f"{settings.name}: can't serve: {error}\n")
+        raise SystemExit(EXIT_CANNOT_SERVE) from None
+
+
+def make_adapter(settings: NodeSettings, loop: Loop) -> Adapter:
+    """Return the platform's names, formats and calls."""
+    return Adapter(
+        store=StoreClient(loop, settings.store),
+        tables=TableNames(
+            CONFIGURATION_TABLE, CONFIGURATION_KEY, INSTANCES_TABLE, VMS_TABLE
+        ),
+        headers=HEADER_NAMES,
+        decode_configuration=decode_configuration,
+        decode_instance=decode_instance,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/galenaferry/platform/settings.py
@@ -0,0 +1,134 @@
+"""The node file: what a VM is told at its start, in the platform's format."""
+
+import tomllib
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+from ..attempts.fleet_budget import BudgetBounds
+from ..findings import Finding
+from ..ini import parse_address
+from ..node.settings import Address, NodeSettings
+
+T = TypeVar("T")
+
+
+class _Fields:
+    """Fields of one table of the file, with findings at their place."""
+
+    def __init__(self, file: str, data: Any, section: str, findings: list[Finding]):
+        self._file = file
+        self._data = data if isinstance(data, dict) else {}
+        self._section = section
+        self._findings = findings
+        if not isinstance(data, dict):
+            self.find("", "a table is needed")
+
+    def find(self, key: str, text: str) -> None:
+        """Collect a finding."""
+        self._findings.append(Finding(self._file, self._section, key, 0, text))
+
+    def read(self, key: str, parse: Callable[[Any], T], default: T) -> T:
+        """Return a parsed field, or ``default`` with a finding."""
+        if key not in self._data:
+            self.find(key, "a value is needed")
+            return default
+        try:
+            return parse(self._data[key])
+        except ValueError as error:
+            self.find(key, str(error))
+            return default
+
+    def table(self, key: str) -> "_Fields":
+        """Return the fields of a nested table."""
+        return _Fields(self._file, self._data.get(key), key, self._findings)
+
+
+def read_node_file(file: str, text: str) -> Result[NodeSettings, list[Finding]]:
+    """Return the settings in a node file, or all findings together.
+
+    Fields that are not known here are left alone.
+    """
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Err([Finding(file, "", "", 0, str(error))])
+    findings: list[Finding] = []
+    fields = _Fields(file, data, "", findings)
+    listen = fields.table("listen")
+    platform = fields.table("platform")
+    bounds = _Fields(file, _bounds(fields), "bounds", findings)
+    ports = fields.read("internalPortRange", _parse_ports, (0, 0))
+    no_seeds: tuple[Address, ...] = ()
+    none = ("127.0.0.1", 0)
+    settings = NodeSettings(
+        name=fields.read("nodeName", _parse_text, ""),
+        zone=fields.read("zone", _parse_text, ""),
+        region=fields.read("region", _parse_text, ""),
+        callers=listen.read("front", _parse_address, none),
+        readiness=listen.read("ready", _parse_address, none),
+        peers=(fields.read("ip", _parse_text, "127.0.0.1"), ports[0]),
+        # Addresses of an interface that no role serves here; they tell where other
+        # VMs are, whose port for VMs is the same as this one's.
+        seeds=tuple(
+            (host, ports[0])
+            for host, _ in fields.read("seedNodes", _parse_addresses, no_seeds)
+        ),
+        store=platform.read("address", _parse_address, none),
+        drain_after=bounds.read("drainTimeoutMs", _parse_number, 0.0),
+        grace=bounds.read("gracePeriodS", _parse_number, 0.0) * 1000.0,
+        floor=bounds.read("floorShare", _parse_number, 0.0),
+        budget=BudgetBounds(
+            ratio=bounds.read("retryBudgetRatio", _parse_number, 0.0),
+            slack=bounds.read("retryBudgetSlack", _parse_number, 0.0),
+            window=bounds.read("budgetWindowS", _parse_number, 0.0) * 1000.0,
+        ),
+    )
+    return Err(findings) if findings else Ok(settings)
+
+
+def _bounds(fields: _Fields) -> dict[str, str]:
+    """Return the bounds, which are texts of the form NAME=VALUE, by name."""
+    nothing: tuple[str, ...] = ()
+    texts = fields.read("bounds", _parse_texts, nothing)
+    return dict(text.split("=", 1) for text in texts if "=" in text)
+
+
+def _parse_text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is not a text")
+    return value
+
+
+def _parse_texts(value: Any) -> tuple[str, ...]:
+    if not isinstance(value, list):
+        raise ValueError(f"{value!r} is not a list")
+    return tuple(_parse_text(item) for item in value)
+
+
+def _parse_address(value: Any) -> tuple[str, int]:
+    return parse_address(_parse_text(value))
+
+
+def _parse_addresses(value: Any) -> tuple[tuple[str, int], ...]:
+    return tuple(parse_address(text) for text in _parse_texts(value))
+
+
+def _parse_ports(value: Any) -> tuple[int, int]:
+    if not isinstance(value, list) or len(value) != 2:
+        raise ValueError(f"{value!r} is not a pair of ports")
+    first, last = value
+    if not isinstance(first, int) or not isinstance(last, int) or first > last:
+        raise ValueError(f"{value!r} is not a pair of ports")
+    return first, last
+
+
+def _parse_number(value: Any) -> float:
+    try:
+        number = float(value)
+    except (TypeError, ValueError):
+        raise ValueError(f"{value!r} is not a number") from None
+    if number < 0.0:
+        raise ValueError(f"{value!r} is below 0")
+    return number
--- a/src/galenaferry/requests/admission.py
+++ b/src/galenaferry/requests/admission.py
@@ -5,13 +5,12 @@
 from random import Random
 from typing import Final
 
-from ..attempts.budget import RetryBudget
+from ..attempts.budget import Budget
 from ..backends.borrowing import Borrowing
 from ..clock import Millis
 
 SHED_LIMIT: Final = 8
 TOKEN_WAIT_MS: Final = 20.0
-TOKEN_PATIENCE_MS: Final = 1000.0
 BORROW_INTERVAL_MS: Final = 200.0
 
 
@@ -44,12 +43,15 @@
         """Whether the request has not been shed too often."""
         return self.sheds <= SHED_LIMIT
 
-    def pay(self, budget: RetryBudget, now: Millis) -> Payment:
-        """Take the token that the next attempt needs, if it needs one."""
+    def pay(self, budget: Budget, patience: Millis, now: Millis) -> Payment:
+        """Take the token that the next attempt needs, if it needs one.
+
+        Without one a request waits for ``patience`` milliseconds after its shed.
+        """
         if not self.owes_token or budget.spend():
             self.owes_token = False
             return Payment.PAID
-        if now - self.shed_at > TOKEN_PATIENCE_MS:
+        if now - self.shed_at >= patience:
             return Payment.GIVE_UP
         return Payment.WAIT
 
--- a/src/galenaferry/requests/answers.py
+++ b/src/galenaferry/requests/answers.py
@@ -4,10 +4,12 @@
 
 from ..attempts.messages import Ran
 from ..claims.messages import Record
+from ..clock import Millis
 from ..framing.messages import Header, ResponseHead
 from .messages import RAN, REASON, REPLAYED, REQUEST_ID, RETRY_AFTER
 
-RETRY_AFTER_SECONDS: Final = b"1"
+RETRY_AFTER_MS: Final = 1000.0
+"""When a refused caller may come back (docs/INTERFACES.md, Callers)."""
 
 
 class OwnAnswer(NamedTuple):
@@ -17,18 +19,35 @@
     body: bytes
 
 
-def refusal(status: int, reason: str, ran: Ran, request_id: bytes) -> OwnAnswer:
-    """Return the answer to a request that got none from a backend server."""
+def refusal(
+    status: int,
+    reason: str,
+    ran: Ran,
+    request_id: Header,
+    retry_after: Millis = RETRY_AFTER_MS,
+) -> OwnAnswer:
+    """Return the answer to a request that got none from a backend server.
+
+    Parameters
+    ----------
+    status : int
+    reason : str
+    ran : Ran
+    request_id : Header
+    retry_after : float
+        When the caller may come back, in milliseconds; told with a 503 only.
+    """
     body = f"{reason}\n".encode()
     headers: list[Header] = [
         (b"content-type", b"text/plain; charset=utf-8"),
         (b"content-length", b"%d" % len(body)),
         (RAN, ran.value.encode()),
         (REASON, reason.encode()),
-        (REQUEST_ID, request_id),
+        request_id,
     ]
     if status == 503:
-        headers.append((RETRY_AFTER, RETRY_AFTER_SECONDS))
+        seconds = b"%.3f" % (retry_after / 1000.0)
+        headers.append((RETRY_AFTER, seconds.rstrip(b"0").rstrip(b".")))
     return OwnAnswer(ResponseHead(status, b"", tuple(headers), len(body)), body)
 
 
--- a/src/galenaferry/requests/attempt.py
+++ b/src/galenaferry/requests/attempt.py
@@ -103,6 +103,11 @@
         """Whether a byte of the request could have left."""
         return self._connection.has_sent
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether the connection had served a request before."""
+        return self._connection.is_reused
+
     def start(
         self, head: bytes, body: RequestBody, is_chunked: bool, is_head: bool
     ) -> None:
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -14,7 +14,6 @@
 from .context import RequestContext
 from .exchange import Exchange
 
-LIMITS: Final = RequestLimits(head_bytes=32_768, body_bytes=1 << 40)
 PIPELINE_LIMIT: Final = 32
 
 
@@ -59,7 +58,10 @@
         self._is_answer_last = False
         self._held = b""
         self.last_progress: Millis = context.loop.clock.now()
-        self._reader = RequestReader(self, LIMITS)
+        limits = context.limits()
+        self._reader = RequestReader(
+            self, RequestLimits(limits.head_bytes, limits.body_bytes)
+        )
         self._stream = Stream(context.loop, sock, self, is_connecting=False)
 
     @property
@@ -99,7 +101,8 @@
     def on_ended(self, reason: str) -> None:
         """Handle the end of the caller's sending (called by the stream)."""
         self._is_input_over = True
-        if reason or self._is_reading_body or not self._exchanges:
+        has_left = bool(reason) or self._context.settings.leaves_by_half_close
+        if has_left or self._is_reading_body or not self._exchanges:
             self.close()
 
     def on_head(self, head: RequestHead) -> None:
--- a/src/galenaferry/requests/component.py
+++ b/src/galenaferry/requests/component.py
@@ -10,8 +10,6 @@
 from .context import RequestContext
 
 SWEEP_MS: Final = 1000.0
-HEAD_TIMEOUT_MS: Final = 10_000.0
-IDLE_TIMEOUT_MS: Final = 75_000.0
 
 
 class RequestsComponent(BaseComponent):
@@ -65,9 +63,10 @@
     def _sweep(self) -> None:
         """Close connections that are idle or slow to send a head."""
         now = self.context.loop.clock.now()
+        limits = self.context.limits()
         for caller in list(self._callers):
             idle = now - caller.last_progress
-            limit = IDLE_TIMEOUT_MS if caller.is_idle else HEAD_TIMEOUT_MS
+            limit = limits.idle_timeout if caller.is_idle else limits.head_timeout
             if not caller.has_exchange and idle > limit:
                 caller.close()
         self.context.directory.close_idle()
--- a/src/galenaferry/requests/deadline.py
+++ b/src/galenaferry/requests/deadline.py
@@ -7,7 +7,6 @@
 from ..framing.messages import RequestHead
 from ..network.loop import Loop, Timer
 from .body import RequestBody
-from .messages import TIME_LEFT
 
 
 class Deadline:
@@ -21,13 +20,30 @@
     body : RequestBody
     on_over : callable
         Called when the time is over and no upload goes on.
+    do_uploads_extend : bool
+        Whether a body that still comes extends the time.
     """
 
-    __slots__ = ("_at", "_body", "_loop", "_on_over", "_size_seen", "_timer", "_total")
+    __slots__ = (
+        "_at",
+        "_body",
+        "_do_uploads_extend",
+        "_loop",
+        "_on_over",
+        "_size_seen",
+        "_timer",
+        "_total",
+    )
 
     def __init__(
-        self, loop: Loop, total: Millis, body: RequestBody, on_over: Callable[[], None]
+        self,
+        loop: Loop,
+        total: Millis,
+        body: RequestBody,
+        on_over: Callable[[], None],
+        do_uploads_extend: bool = True,
     ) -> None:
+        self._do_uploads_extend = do_uploads_extend
         self._loop = loop
         self._total = total
         self._body = body
@@ -50,7 +66,7 @@
         self._timer.cancel()
 
     def _check(self) -> None:
-        has_grown = self._body.size > self._size_seen
+        has_grown = self._do_uploads_extend and self._body.size > self._size_seen
         if self._body.is_complete or not has_grown:
             self._on_over()
             return
@@ -59,10 +75,18 @@
         self._timer = self._loop.after(self._total, self._check)
 
 
-def total_time(head: RequestHead, policy: Policy) -> Millis:
-    """Return the policy's total time or the caller's time left, if shorter."""
+def total_time(head: RequestHead, policy: Policy, time_left: bytes) -> Millis:
+    """Return the policy's total time or the caller's time left, if shorter.
+
+    Parameters
+    ----------
+    head : RequestHead
+    policy : Policy
+    time_left : bytes
+        Name of the header in which a caller says how long it waits.
+    """
     total = float(policy.total_timeout_ms)
-    text = head.header(TIME_LEFT)
+    text = head.header(time_left)
     if text is not None and text.isdigit():
         total = min(total, float(text))
     return total
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -3,16 +3,19 @@
 from typing import Final
 
 from ..attempts.messages import (
+    BadResponse,
+    BrokenHeld,
     BrokenResponse,
     CallerLeft,
     Ending,
     Evidence,
     Ran,
+    TimedOut,
     Verdict,
 )
 from ..attempts.outcomes import classify_status, judge, worse
 from ..backends.choice import Busy, Chosen, Nothing
-from ..backends.messages import Instance, Shares
+from ..backends.messages import Ask, Instance, Shares
 from ..claims.component import ClaimsComponent
 from ..claims.handle import ClaimHandle
 from ..claims.messages import ClaimOutcome, Granted, KeyedRequest, Replayed
@@ -20,26 +23,22 @@
 from ..configuration.policy import WAIT
 from ..framing.heads import encode_request
 from ..framing.messages import Header, RequestHead, ResponseHead
-from ..routing.table import Route
+from ..routing.table import NoConfiguration, NoRoute, Route
 from .admission import TOKEN_WAIT_MS, Admission, Payment
 from .answers import OwnAnswer, refusal, replay
 from .attempt import Attempt
 from .body import RequestBody
 from .context import RequestContext
 from .deadline import Deadline, total_time
+from .held import HeldAnswer, is_holdable
+from .interface import find_fault, is_certified_not_run
 from .keyed import keyed_request, refusal_of
 from .lines import wait_in_line
-from .messages import (
-    ATTEMPT,
-    DRAINING,
-    IDEMPOTENCY_KEY,
-    RAN,
-    REQUEST_ID,
-    TIME_LEFT,
-)
+from .messages import IDEMPOTENCY_KEY, RAN
 from .retries import takes_another_attempt
 from .settling import SentAttempt, settle
 from .sinks import NOBODY, AnswerSink
+from .story import Story
 from .waiting import Waiter
 
 UNSENT_LIMIT_BYTES: Final = 262_144
@@ -68,6 +67,7 @@
         self._route: Route | None = None
         self._attempt: Attempt | None = None
         self._claim: ClaimHandle | None = None
+        self._held: HeldAnswer | None = None
         self._instance: Instance | None = None
         self._tried: frozenset[str] = frozenset()
         self._shares = NO_SHARES
@@ -76,26 +76,45 @@
         self._admission = Admission()
         self._is_continue_owed = head.expects_continue
         self._deadline: Deadline | None = None
-        self._request_id = head.header(REQUEST_ID) or b"%032x" % (
-            context.random.getrandbits(128)
+        self._request_id = head.header(context.settings.names.request_id) or (
+            b"%032x" % context.random.getrandbits(128)
         )
+        self._story = Story(self._request_id, context.loop.clock.now())
+
+    @property
+    def _id_header(self) -> Header:
+        return (self._context.settings.names.request_id, self._request_id)
 
     def begin(self) -> None:
         """Route the request and make its first attempt."""
         context = self._context
         context.counters.received += 1
-        route = context.routes.find(self.head.method, self.head.target)
-        if route is None or route.service not in context.directory.by_service:
+        match context.routes.route(self.head):
+            case NoConfiguration():
+                self.refuse(503, "no configuration is known yet")
+            case NoRoute():
+                self.refuse(404, "no service for this path")
+            case Route() as route:
+                self._begin_at(route)
+
+    def _begin_at(self, route: Route) -> None:
+        context = self._context
+        self._story.route = route.name
+        if not context.directory.has_service(route.service):
             self.refuse(404, "no service for this path")
             return
         if self.head.length and self.head.length > route.policy.max_body_bytes:
             self.refuse(413, "the body is too large")
             return
         self._route = route
-        total = total_time(self.head, route.policy)
-        self._deadline = Deadline(context.loop, total, self.body, self._on_deadline)
-        context.budget(route.service).earn(route.policy.retry_budget_percent)
-        context.shed_budget(route.service).earn(route.policy.shed_retry_percent)
+        settings = context.settings
+        total = total_time(self.head, route.policy, settings.names.time_left)
+        extends = settings.do_uploads_extend
+        self._deadline = Deadline(
+            context.loop, total, self.body, self._on_deadline, extends
+        )
+        context.budgets.retry(route.service).earn(route.policy.retry_budget_percent)
+        context.budgets.shed(route.service).earn(route.policy.shed_retry_percent)
         key = self.head.header(IDEMPOTENCY_KEY)
         if key is None or route.is_idempotent or context.claims is None:
             self._try()
@@ -136,6 +155,7 @@
             self._context.detached.add(self)
             return
         self._abandon_attempt()
+        self._story.end(0, "the caller left", self._ran)
         self._close()
 
     def _is_worth_finishing(self) -> bool:
@@ -148,12 +168,19 @@
         """End the exchange by an answer of the fleet's own."""
         self._abandon_attempt()
         if self.is_answer_started:
+            self._story.end(0, reason, self._ran)
             self._close()
             self._sink.break_answer()
             return
         ran = Ran.NOT_RUN if self._ran is Ran.NOT_RUN else Ran.UNKNOWN
+        is_promise = self._context.settings.do_refusals_promise
+        if is_promise and status == 503 and ran is not Ran.NOT_RUN:
+            status = 502
         self._context.counters.count_refusal(ran)
-        self._give(refusal(status, reason, ran, self._request_id))
+        self._story.end(status, reason, ran)
+        service = self._route.service if self._route is not None else ""
+        wait = self._context.retry_after(service)
+        self._give(refusal(status, reason, ran, self._id_header, wait))
 
     def on_attempt_sending(self) -> None:
         """Ask the caller for its body where it waits to be asked."""
@@ -167,22 +194,37 @@
 
     def on_attempt_head(self, head: ResponseHead) -> bool:
         """Pass the head on, or give the response up for another attempt."""
-        is_certified = head.header(RAN) == Ran.NOT_RUN.value.encode()
-        ending = classify_status(head.status, is_certified)
-        if head.header(DRAINING) is not None and self._instance is not None:
+        settings = self._context.settings
+        ending = classify_status(head.status, is_certified_not_run(settings, head))
+        fault = find_fault(settings.names, head, self._request_id)
+        if fault:
+            ending = BadResponse(fault)
+        draining = settings.names.draining
+        if draining and head.header(draining) and self._instance is not None:
             self._context.directory.note_draining(self._instance.address)
         verdict = judge(ending)
-        self._settle(verdict)
+        self._settle(ending, verdict)
         if self._may_retry(verdict):
             self._context.loop.soon(self._retry)
             return False
+        if fault or (verdict.ran is Ran.NOT_RUN and settings.do_sheds_count):
+            self._context.loop.soon(lambda: self._refuse_if_open(verdict.status, fault))
+            return False
         self._pass_on(head, verdict)
         return True
 
+    def _refuse_if_open(self, status: int, fault: str) -> None:
+        if not self.is_over:
+            self.refuse(status, fault or "every backend server is busy")
+
     def on_attempt_body(self, data: bytes) -> None:
         """Pass on a part of the body."""
         if self._claim is not None:
             self._claim.on_body(data)
+        if self._held is not None:
+            if not self._held.add(data):
+                self._release_held()
+            return
         if not self._sink.answer_body(data) and self._attempt is not None:
             self._attempt.pause()
 
@@ -191,15 +233,28 @@
         self._context.counters.answered += 1
         if self._claim is not None and self._ran is Ran.ANSWERED:
             self._claim.settle_answered()
+        self._release_held()
         self._close()
         self._sink.end_answer()
 
+    def _release_held(self) -> None:
+        """Start the caller's answer with what was held of it."""
+        held, self._held = self._held, None
+        if held is not None:
+            self.is_answer_started = True
+            self._sink.start_answer(held.head, held.extra)
+            self._sink.answer_body(held.body)
+
     def on_attempt_ended(self, ending: Ending) -> None:
         """Retry or answer after an attempt without a whole response."""
+        if isinstance(ending, BrokenResponse) and self._held is not None:
+            self._held = None
+            ending = BrokenHeld(ending.reason)
         verdict = judge(ending)
-        self._settle(verdict)
+        self._settle(ending, verdict)
         if isinstance(ending, BrokenResponse):
             self._context.counters.broken_after_head += 1
+            self._story.end(0, f"the response broke: {ending.reason}", self._ran)
             self._close()
             self._sink.break_answer()
         elif self._may_retry(verdict):
@@ -231,6 +286,7 @@
         if self.is_over:
             return
         if isinstance(outcome, Replayed):
+            self._story.end(outcome.record.status, "replayed", Ran.ANSWERED)
             self._give(replay(outcome.record, self._request_id))
             return
         told = refusal_of(outcome)
@@ -260,15 +316,10 @@
             context.loop.clock.now(),
             context.random,
         )
-        choice = directory.choose(
-            route.service,
-            self._tried,
-            route.policy,
-            self._shares,
-            may_borrow,
-            route.is_idempotent,
+        ask = Ask(
+            route.service, route.name, route.policy, self._tried, route.is_idempotent
         )
-        match choice:
+        match directory.choose(ask, self._shares, may_borrow):
             case Chosen(instance, is_borrowed):
                 self._admission.is_borrowed = is_borrowed
                 self._send_to(instance, route)
@@ -280,8 +331,9 @@
     def _pay(self, route: Route) -> bool:
         """Pay for another attempt after a shed; False where it can't be now."""
         now = self._context.loop.clock.now()
-        budget = self._context.shed_budget(route.service)
-        match self._admission.pay(budget, now):
+        budget = self._context.budgets.shed(route.service)
+        patience = self._context.settings.shed_patience
+        match self._admission.pay(budget, patience, now):
             case Payment.PAID:
                 return True
             case Payment.WAIT:
@@ -300,19 +352,24 @@
         attempt = Attempt(context.loop, pool, connection, self, route.policy)
         self._attempt = attempt
         self.body.rewind()
-        assert self._deadline is not None
-        added = (
-            (REQUEST_ID, self._request_id),
-            (TIME_LEFT, b"%d" % self._deadline.left()),
-            (ATTEMPT, b"%d" % len(self._tried)),
-        )
         attempt.start(
-            encode_request(self.head, added),
+            encode_request(self.head, self._added_headers(instance)),
             self.body,
             self.head.length is None,
             self.head.method == b"HEAD",
         )
 
+    def _added_headers(self, instance: Instance) -> tuple[Header, ...]:
+        """Return the headers that this attempt adds to the caller's."""
+        assert self._deadline is not None
+        names = self._context.settings.names
+        added = [self._id_header, (names.time_left, b"%d" % self._deadline.left())]
+        if names.attempt:
+            added.append((names.attempt, b"%d" % len(self._tried)))
+        if names.expected_instance:
+            added.append((names.expected_instance, instance.id.encode()))
+        return tuple(added)
+
     def _wait(self, route: Route, until: Millis) -> None:
         """Join the waiting line, or be refused early where it is full."""
         assert self._deadline is not None
@@ -329,20 +386,21 @@
         route = self._route
         assert route is not None
         return not self.is_over and takes_another_attempt(
-            self._context,
-            route,
-            self.body,
-            self._admission,
-            len(self._tried),
-            verdict,
+            self._context, route, self.body, self._admission, self._attempts(), verdict
         )
 
+    def _attempts(self) -> int:
+        """Return how many attempts count against the route's limit."""
+        if self._context.settings.do_sheds_count:
+            return self._story.sent_count
+        return len(self._tried)
+
     def _retry(self) -> None:
         if not self.is_over:
             self._context.counters.retried += 1
             self._try()
 
-    def _settle(self, verdict: Verdict) -> None:
+    def _settle(self, ending: Ending, verdict: Verdict) -> None:
         """Record what an attempt proved of the request and the instance."""
         route, instance = self._route, self._instance
         assert route is not None and instance is not None
@@ -350,20 +408,26 @@
         if verdict.evidence is Evidence.SHED:
             self._tried -= {instance.address}
         started = self._attempt.started if self._attempt is not None else 0.0
+        self._story.attempt(instance, ending, self._context.loop.clock.now() - started)
         target = self.head.target
         sent = SentAttempt(route, instance, self._shares, target, started)
         settle(self._context, sent, self._admission, verdict)
 
     def _pass_on(self, head: ResponseHead, verdict: Verdict) -> None:
         """Start the caller's answer with the head of the response."""
-        extra: tuple[Header, ...] = ((REQUEST_ID, self._request_id),)
+        extra: tuple[Header, ...] = (self._id_header,)
         if verdict.ran is not Ran.ANSWERED:
             self._context.counters.count_refusal(self._ran)
             extra += ((RAN, self._ran.value.encode()),)
         self._context.counters.count_status(head.status)
-        self.is_answer_started = True
+        self._story.end(head.status, "", self._ran)
         if self._claim is not None:
             self._claim.on_head(head)
+        limit = self._context.settings.held_bytes
+        if is_holdable(head, limit):
+            self._held = HeldAnswer(head, extra, limit)
+            return
+        self.is_answer_started = True
         if self._deadline is not None:
             self._deadline.cancel()
         self._sink.start_answer(head, extra)
@@ -371,7 +435,12 @@
     def _on_deadline(self) -> None:
         if self.is_over or self.is_answer_started:
             return
-        self._abandon_attempt()
+        attempt = self._attempt
+        if attempt is not None and not attempt.is_over and attempt.has_sent:
+            self._held = None
+            ending = TimedOut(attempt.is_reused)
+            attempt.abandon()
+            self._settle(ending, judge(ending))
         status = 503 if self._ran is Ran.NOT_RUN else 504
         self.refuse(status, "the time for the request is over")
 
@@ -387,6 +456,7 @@
     def _close(self) -> None:
         self.is_over = True
         self._is_waiting = False
+        self._context.tell(self._story)
         # Without cycles to attempt and deadline all are freed by reference counts,
         # not by a collection that would hold other requests up.
         self._attempt = None
--- a/src/galenaferry/requests/retries.py
+++ b/src/galenaferry/requests/retries.py
@@ -38,4 +38,4 @@
     if verdict.evidence is Evidence.SHED:
         # A shed costs the instance little: the request waits for a token.
         return admission.may_try_again
-    return context.budget(route.service).spend()
+    return context.budgets.retry(route.service).spend()
--- /dev/null
+++ b/src/galenaferry/requests/story.py
@@ -0,0 +1,67 @@
+"""What one request went through, for the one log line that it leaves."""
+
+from typing import Any
+
+from ..attempts.messages import BrokenUnsent, Ending, NotConnected, Ran
+from ..backends.messages import Instance
+from ..clock import Millis
+
+
+class Story:
+    """Attempts and the end of one request.
+
+    Parameters
+    ----------
+    request_id : bytes
+    began_at : float
+        In milliseconds.
+    """
+
+    __slots__ = (
+        "_attempts",
+        "began_at",
+        "ran",
+        "reason",
+        "request_id",
+        "route",
+        "sent_count",
+        "status",
+    )
+
+    def __init__(self, request_id: bytes, began_at: Millis) -> None:
+        self.request_id = request_id
+        self.began_at = began_at
+        self.route = ""
+        self.status = 0
+        self.reason = ""
+        self.ran = Ran.NOT_RUN
+        self.sent_count = 0
+        self._attempts: list[tuple[str, str, int]] = []
+
+    @property
+    def is_plain(self) -> bool:
+        """Whether one attempt was made and succeeded."""
+        return len(self._attempts) == 1 and 200 <= self.status < 300
+
+    def attempt(self, instance: Instance, ending: Ending, took: Millis) -> None:
+        """Add the end of an attempt that took so many milliseconds."""
+        self.sent_count += not isinstance(ending, NotConnected | BrokenUnsent)
+        self._attempts.append((instance.name, repr(ending), int(took)))
+
+    def end(self, status: int, reason: str, ran: Ran) -> None:
+        """Note how the request ended; status 0 stands for a closed connection."""
+        self.status = status
+        self.reason = reason
+        self.ran = ran
+
+    def fields(self, now: Millis) -> dict[str, Any]:
+        """Return the fields of the log line."""
+        return {
+            "request": self.request_id.decode("latin-1"),
+            "route": self.route,
+            "status": self.status,
+            "reason": self.reason,
+            "ran": self.ran.value,
+            "took_ms": int(now - self.began_at),
+            "attempts": self._attempts,
+        }
--- /dev/null
+++ b/src/galenaferry/routing/hosts.py
@@ -0,0 +1,182 @@
+"""Lookup of routes by host and longest path prefix, with shares of services."""
+
+from random import Random
+from typing import Final, NamedTuple
+
+from ..clock import Millis
+from ..configuration.policy import DEFAULT_POLICY, Policy
+from ..framing.limits import CallerLimits
+from ..framing.messages import RequestHead
+from .table import Found, NoConfiguration, NoRoute, Route
+
+SLASH: Final = b"/"
+CONNECT_TIMEOUT_MS: Final = 300
+"""Three round trips between the most distant zones of the brief (55 ms one way),
+less than the second after which the kernel repeats a lost opening packet."""
+
+
+class Share(NamedTuple):
+    """A service that a route leads to, and its weight among the others."""
+
+    service: str
+    weight: float
+
+
+class HostRoute(NamedTuple):
+    """One route of the configuration; times in milliseconds.
+
+    ``total_timeout`` is None where the operator sets none. ``priority`` 0 is the
+    most urgent.
+    """
+
+    name: str
+    host: bytes
+    prefix: bytes
+    shares: tuple[Share, ...]
+    is_idempotent: bool
+    max_attempts: int
+    total_timeout: Millis | None
+    target_latency: Millis
+    priority: int
+
+
+class ServiceFacts(NamedTuple):
+    """What the configuration says of a service."""
+
+    name: str
+    connections_per_instance: int
+    health_path: str
+
+
+class RoutingDocument(NamedTuple):
+    """One version of the configuration in full."""
+
+    version: int
+    routes: tuple[HostRoute, ...]
+    service_by_name: dict[str, ServiceFacts]
+    limits: CallerLimits
+
+
+class HostRoutes:
+    """Routes of the newest configuration; an older one is never taken.
+
+    Parameters
+    ----------
+    retry_percent : int
+        Further attempts that the fleet may make, in hundredths of the requests.
+    random : Random
+    """
+
+    def __init__(self, retry_percent: int, random: Random) -> None:
+        self._retry_percent = retry_percent
+        self._random = random
+        self._document: RoutingDocument | None = None
+        self._route_by_place: dict[bytes, dict[bytes, HostRoute]] = {}
+        self._policy_by_route: dict[tuple[str, str], Policy] = {}
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 for none."""
+        return 0 if self._document is None else self._document.version
+
+    @property
+    def services(self) -> frozenset[str]:
+        """Names of all services that routes lead to."""
+        if self._document is None:
+            return frozenset()
+        return frozenset(
+            share.service for route in self._document.routes for share in route.shares
+        )
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What callers may send."""
+        return CallerLimits() if self._document is None else self._document.limits
+
+    def use(self, document: RoutingDocument) -> bool:
+        """Put a newer version in force; False where it is not newer."""
+        if document.version <= self.version:
+            return False
+        route_by_place: dict[bytes, dict[bytes, HostRoute]] = {}
+        for route in document.routes:
+            route_by_place.setdefault(route.host, {})[route.prefix] = route
+        self._document = document
+        self._route_by_place = route_by_place
+        self._policy_by_route.clear()
+        return True
+
+    def route(self, head: RequestHead) -> Found:
+        """Return the route of a request."""
+        if self._document is None:
+            return NoConfiguration()
+        host = (head.header(b"host") or b"").partition(b":")[0].lower()
+        route = _longest(self._route_by_place.get(host, {}), head.target)
+        if route is None:
+            return NoRoute()
+        service = self._draw(route)
+        return Route(
+            service=service,
+            name=route.name,
+            policy=self._policy(route, service),
+            is_idempotent=route.is_idempotent,
+            target_latency=route.target_latency,
+        )
+
+    def _draw(self, route: HostRoute) -> str:
+        """Return one of the route's services, each as often as its weight says."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        drawn = self._random.random() * sum(share.weight for share in route.shares)
+        for share in route.shares:
+            drawn -= share.weight
+            if drawn < 0.0:
+                return share.service
+        return next(s.service for s in reversed(route.shares) if s.weight > 0.0)
+
+    def _policy(self, route: HostRoute, service: str) -> Policy:
+        policy = self._policy_by_route.get((route.name, service))
+        if policy is None:
+            assert self._document is not None
+            facts = self._document.service_by_name.get(service)
+            policy = _build_policy(route, facts, self._document.limits)._replace(
+                retry_budget_percent=self._retry_percent
+            )
+            self._policy_by_route[route.name, service] = policy
+        return policy
+
+
+def _build_policy(
+    route: HostRoute, facts: ServiceFacts | None, limits: CallerLimits
+) -> Policy:
+    total = route.total_timeout or float(DEFAULT_POLICY.total_timeout_ms)
+    attempt = total
+    if route.is_idempotent and route.max_attempts > 1:
+        # Leaves time for another attempt after one that hangs.
+        attempt = max(route.target_latency, total / 2.0)
+    return DEFAULT_POLICY._replace(
+        total_timeout_ms=int(total),
+        attempt_timeout_ms=int(min(attempt, total)),
+        idle_timeout_ms=int(total),
+        connect_timeout_ms=CONNECT_TIMEOUT_MS,
+        shed_retry_percent=0,
+        max_attempts=route.max_attempts,
+        max_body_bytes=limits.body_bytes,
+        connections_per_instance=(
+            facts.connections_per_instance
+            if facts is not None
+            else DEFAULT_POLICY.connections_per_instance
+        ),
+    )
+
+
+def _longest(
+    route_by_prefix: dict[bytes, HostRoute], target: bytes
+) -> HostRoute | None:
+    path = target.partition(b"?")[0]
+    end = path.rfind(SLASH)
+    while end >= 0:
+        route = route_by_prefix.get(path[: end + 1])
+        if route is not None:
+            return route
+        end = path.rfind(SLASH, 0, end)
+    return None
--- a/src/galenaferry/routing/table.py
+++ b/src/galenaferry/routing/table.py
@@ -2,6 +2,7 @@
 
 from typing import Final, NamedTuple
 
+from ..clock import Millis
 from ..configuration.compact import Configuration
 from ..configuration.document import (
     INSTANCE,
@@ -11,6 +12,7 @@
     PolicyException,
 )
 from ..configuration.policy import BY_METHOD, Policy, with_values
+from ..framing.messages import RequestHead
 
 IDEMPOTENT_METHODS: Final = frozenset((b"GET", b"HEAD", b"OPTIONS"))
 CACHE_LIMIT: Final = 4096
@@ -20,12 +22,26 @@
     """Where a request goes and under which policy.
 
     ``name`` is the class of work that latencies are compared within.
+    ``target_latency`` is the time in milliseconds within which an answer has its
+    full worth, 0 where none is stated.
     """
 
     service: str
     name: str
     policy: Policy
     is_idempotent: bool
+    target_latency: Millis = 0.0
+
+
+class NoRoute(NamedTuple):
+    """The configuration in force has no route for a request."""
+
+
+class NoConfiguration(NamedTuple):
+    """No configuration is known yet, so that nothing can be said of a route."""
+
+
+Found = Route | NoRoute | NoConfiguration
 
 
 class RouteTable:
@@ -57,6 +73,10 @@
                 self._route_by_request[key] = route
         return route
 
+    def route(self, head: RequestHead) -> Found:
+        """Return the route of a request."""
+        return self.find(head.method, head.target) or NoRoute()
+
     def service_policy(self, service: str) -> Policy:
         """Return the policy of a service without any route."""
         policy = self._policy_by_service.get(service)
--- /dev/null
+++ b/src/galenaferry/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table service, object store and VM list, met over HTTP."""
