Watch overdue answers, spread work among equals, and test the new slices

Change: an attempt is left to run for the route's time; an overdue one is told to the fleet and tried elsewhere only where its instance is probably sick. Sickness below the usual is no reason to prefer an instance.

--- /dev/null
+++ b/src/galenaferry/discovery/tests/builders.py
@@ -0,0 +1,69 @@
+"""Builders of a follower with a store and peers that a test answers for."""
+
+from random import Random
+
+from result import Err, Ok
+
+from galenaferry.clock import FakeClock
+from galenaferry.discovery.follower import FollowerSettings, TableFollower
+from galenaferry.discovery.messages import (
+    HistoryLost,
+    TableError,
+    TableNews,
+    TableRow,
+)
+from galenaferry.network.loop import Loop
+
+
+def news(version, is_whole=False, **values):
+    rows = tuple(TableRow(key, value) for key, value in values.items())
+    return TableNews(version, rows, is_whole)
+
+
+class FakeSource:
+    """Store whose answers the test gives."""
+
+    def __init__(self):
+        self.calls = []
+
+    def read_all(self, table, done):
+        self.calls.append(("all", 0, done))
+
+    def read_changes(self, table, after, wait, done):
+        self.calls.append(("changes", after, done))
+
+    def answer(self, table_news):
+        self.calls[-1][2](Ok(table_news))
+
+    def lose_history(self):
+        self.calls[-1][2](Ok(HistoryLost()))
+
+    def fail(self):
+        self.calls[-1][2](Err(TableError("status 503")))
+
+
+class FollowerBench:
+    """A follower on a fake clock."""
+
+    def __init__(self, spacing=0.0):
+        self.clock = FakeClock(1000.0)
+        self.loop = Loop(self.clock)
+        self.source = FakeSource()
+        self.asked = []
+        self.changes = []
+        self.follower = TableFollower(
+            self.loop,
+            FollowerSettings("op", spacing),
+            self.source,
+            lambda address, table, done: self.asked.append((address, done)),
+            Random(1),
+            self.changes.append,
+        )
+        self.follower.begin()
+
+    def run_for(self, interval):
+        ends_at = self.clock.now() + interval
+        while self.clock.now() < ends_at:
+            self.loop.poll(0.0)
+            self.clock.advance(1.0)
+        self.loop.poll(0.0)
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -126,6 +126,7 @@
             budgets=FleetBudgets(settings.budget, loop.clock, self._fleet_size),
             limits=lambda: self.routes.limits,
             retry_after=self._retry_after,
+            patience=self.placement,
             on_story=self._on_story,
         )
         self.requests = RequestsComponent(self.context, settings.callers).register(self)
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -32,6 +32,8 @@
 """Sickness from which a good answer is news to other VMs."""
 SLOW_FACTOR: Final = 2.0
 """An answer is slow beyond this many times what nine in ten stay below."""
+DOUBTED_ABOVE: Final = 0.6
+"""Sickness from which an overdue request is tried elsewhere if it may be."""
 SIZE_WEIGHT: Final = 0.2
 """Weight of the newest answer in the usual size of a route's answers."""
 
@@ -183,10 +185,15 @@
         now = self._loop.clock.now()
         if outcome is Outcome.GOOD:
             self._reach.on_answer(instance.name)
-            if self._is_slow(route, instance, latency):
-                outcome = Outcome.SLOW
+            limit = self._slow_limit(route, instance)
+            if 0.0 < SLOW_FACTOR * limit.value < latency:
+                # Told when the answer became overdue.
+                outcome = None
+            limit.is_slow(latency)
         elif outcome is Outcome.UNREACHABLE:
             self._reach.on_failure(instance.name, now)
+        if outcome is None:
+            return
         belief = self._beliefs.of(instance.name, now)
         is_news = outcome is not Outcome.GOOD or belief.sick(now) > TOLD_ABOVE
         belief.add(outcome, now)
@@ -201,6 +208,21 @@
             if name is not None:
                 self._beliefs.of(name, now).add(shown.outcome, now)
 
+    def overdue_after(self, route: str, instance: Instance) -> Millis:
+        """Return the time beyond which an answer is overdue, 0 if not known."""
+        return SLOW_FACTOR * self._slow_limit(route, instance).value
+
+    def on_overdue(self, instance: Instance) -> None:
+        """Take an overdue answer for a sign that the instance is sick."""
+        now = self._loop.clock.now()
+        self._belief(instance, now).add(Outcome.SLOW, now)
+        self._tell_soon(Shown(instance_key(instance.name), Outcome.SLOW))
+
+    def is_doubted(self, instance: Instance) -> bool:
+        """Whether the instance is probably sick by all that is known."""
+        now = self._loop.clock.now()
+        return self._belief(instance, now).sick(now) > DOUBTED_ABOVE
+
     def note_size(self, route: str, size: int) -> None:
         """Learn the size in bytes of a route's answers."""
         known = self._kb_by_route.get(route, size / 1024.0)
@@ -263,14 +285,12 @@
             self._triers_by_name[instance.name] = known
         return known
 
-    def _is_slow(self, route: str, instance: Instance, latency: Millis) -> bool:
+    def _slow_limit(self, route: str, instance: Instance) -> SlowLimit:
         place = (route, instance.zone == self.zone)
         limit = self._slow_by_class.get(place)
         if limit is None:
             limit = self._slow_by_class[place] = SlowLimit()
-        usual = limit.value
-        limit.is_slow(latency)
-        return 0.0 < SLOW_FACTOR * usual < latency
+        return limit
 
     def _tell_soon(self, shown: Shown) -> None:
         if not self._untold:
--- a/src/galenaferry/placing/decisions.py
+++ b/src/galenaferry/placing/decisions.py
@@ -34,6 +34,8 @@
 """Cost of each request of this VM that the instance has in progress."""
 COLD_COST: Final = 0.2
 """An instance that has just started is slow."""
+USUAL_RISK: Final = 0.25
+"""Sickness below which instances count as equals (``SicknessModel.usual``)."""
 JITTER: Final = 0.02
 """Spread that keeps VMs from choosing alike among equals."""
 
@@ -101,7 +103,10 @@
 
 
 def _cost(option: Option, wish: Wish, random: Random) -> float:
-    cost = RISK_COST * option.sick + LOAD_COST * option.in_flight
+    # What makes an instance look better than usual is no reason for all VMs to
+    # crowd there.
+    risk = max(0.0, option.sick - USUAL_RISK)
+    cost = RISK_COST * risk + LOAD_COST * option.in_flight
     if not option.is_warm:
         cost += CONNECTION_COST
     if not option.is_own:
--- /dev/null
+++ b/src/galenaferry/platform/tests/test_documents.py
@@ -0,0 +1,69 @@
+"""Rows of the store become the project's types, or a reason why not."""
+
+import pytest
+
+from galenaferry.backends.messages import Instance
+from galenaferry.platform.documents import decode_configuration, decode_instance
+from galenaferry.platform.tests.builders import configuration, entry
+from galenaferry.routing.hosts import Share
+
+
+def test_an_entry_names_an_instance():
+    assert decode_instance("i-1", entry(), 1000.0).unwrap() == Instance(
+        "10.128.0.9:8080", "s", "a", False, "i-1", 1787221204054, 6, 1250.0
+    )
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"[]",
+        b"null",
+        entry(address="nowhere"),
+        entry(address=7),
+        entry(born="1787221204054"),
+        entry(born=1.5),
+        entry(info={"service": "s", "version": "v1", "zone": "a"}),
+        entry(info={"service": 5, "version": "v1", "zone": "a", "slots": 6}),
+        entry(info={"service": "s", "version": "v1", "zone": "a", "slots": "6"}),
+        entry(status={"state": "resting", "sequence": 4, "coldRemainingMs": 0}),
+        entry(status={"state": "ready", "sequence": True, "coldRemainingMs": 0}),
+        entry(status={"state": "ready", "sequence": 1, "coldRemainingMs": None}),
+        entry(status="ready"),
+    ],
+)
+def test_an_entry_of_another_writer_names_none(value):
+    assert decode_instance("i-1", value, 0.0).is_err()
+
+
+def test_a_configuration_is_read_whole():
+    document = decode_configuration(configuration()).unwrap()
+    split, plain = document.routes
+    assert document.version == 26
+    assert split.host == b"a.example"
+    assert split.shares == (Share("s", 90.0), Share("t", 10.0))
+    assert (split.is_idempotent, split.total_timeout, split.max_attempts) == (
+        True,
+        4000.0,
+        2,
+    )
+    assert (plain.is_idempotent, plain.total_timeout) == (False, None)
+    assert document.limits.idle_timeout == 15000.0
+    assert document.service_by_name["s"].connections_per_instance == 330
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"{",
+        configuration(version=26),
+        configuration(version="xyz"),
+        configuration(routes=None),
+        configuration(routes=[{"name": "r"}]),
+        configuration(limits={}),
+        configuration(services=[{"name": "s"}]),
+    ],
+)
+def test_a_configuration_that_cannot_be_read_says_why(value):
+    assert decode_configuration(value).unwrap_err()
--- a/src/galenaferry/requests/attempt.py
+++ b/src/galenaferry/requests/attempt.py
@@ -103,6 +103,11 @@
         """Whether a byte of the request could have left."""
         return self._connection.has_sent
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the request has been sent and no head of a response has come."""
+        return self.has_sent and not (self._is_head_passed or self._is_done)
+
     @property
     def is_reused(self) -> bool:
         """Whether the connection had served a request before."""
--- a/src/galenaferry/requests/context.py
+++ b/src/galenaferry/requests/context.py
@@ -17,6 +17,7 @@
 from .answers import RETRY_AFTER_MS
 from .interface import RequestSettings
 from .messages import RequestCounters
+from .overdue import Patience
 from .story import Story
 from .waiting import WaitingLine
 
@@ -109,6 +110,7 @@
     limits: Callable[[], CallerLimits] = CallerLimits
     retry_after: Callable[[str], Millis] = _fixed_retry_after
     line_by_service: dict[str, WaitingLine] = field(default_factory=dict)
+    patience: Patience | None = None
     on_story: Callable[[Story], None] = _forget_story
     detached: set[Any] = field(default_factory=set)
     is_stopping: bool = False
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -35,6 +35,7 @@
 from .keyed import keyed_request, refusal_of
 from .lines import wait_in_line
 from .messages import IDEMPOTENCY_KEY, RAN
+from .overdue import OverdueWatch
 from .retries import takes_another_attempt
 from .settling import SentAttempt, settle
 from .sinks import NOBODY, AnswerSink
@@ -76,6 +77,7 @@
         self._admission = Admission()
         self._is_continue_owed = head.expects_continue
         self._deadline: Deadline | None = None
+        self._overdue: OverdueWatch | None = None
         self._request_id = head.header(context.settings.names.request_id) or (
             b"%032x" % context.random.getrandbits(128)
         )
@@ -358,6 +360,34 @@
             self.head.length is None,
             self.head.method == b"HEAD",
         )
+        self._watch(attempt, instance, route)
+
+    def _watch(self, attempt: Attempt, instance: Instance, route: Route) -> None:
+        """Look after the attempt once its answer takes longer than usual."""
+        context = self._context
+        if context.patience is None or attempt.is_over:
+            return
+        if self._overdue is not None:
+            self._overdue.cancel()
+        self._overdue = OverdueWatch(
+            context.loop,
+            context.patience,
+            instance,
+            lambda: self._attempt is attempt and attempt.is_waiting,
+            self._on_doubted,
+        )
+        self._overdue.begin(route.name)
+
+    def _on_doubted(self) -> None:
+        """Try a request that may be repeated elsewhere while there is time."""
+        attempt = self._attempt
+        ending = TimedOut(is_reused=False)
+        verdict = judge(ending)
+        if attempt is None or not self._may_retry(verdict):
+            return
+        attempt.abandon()
+        self._settle(ending, verdict)
+        self._retry()
 
     def _added_headers(self, instance: Instance) -> tuple[Header, ...]:
         """Return the headers that this attempt adds to the caller's."""
@@ -464,6 +494,9 @@
             self._claim.settle_unanswered(self._ran)
             self._claim = None
         self._context.detached.discard(self)
+        if self._overdue is not None:
+            self._overdue.cancel()
+            self._overdue = None
         if self._deadline is not None:
             self._deadline.cancel()
             self._deadline = None
--- /dev/null
+++ b/src/galenaferry/requests/overdue.py
@@ -0,0 +1,87 @@
+"""Attempts whose answer takes longer than usual."""
+
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from ..backends.messages import Instance
+from ..clock import Millis
+from ..network.loop import Loop, Timer
+
+RECHECK_MS: Final = 250.0
+"""How often an overdue attempt is looked at again; news of an instance come as
+other attempts at it end."""
+
+
+class Patience(Protocol):
+    """What is known of how long answers take."""
+
+    def overdue_after(self, route: str, instance: Instance) -> Millis:
+        """Return the time beyond which an answer is overdue, 0 if not known."""
+
+    def on_overdue(self, instance: Instance) -> None:
+        """Take an overdue answer for a sign that the instance is sick."""
+
+    def is_doubted(self, instance: Instance) -> bool:
+        """Whether the instance is probably sick by all that is known."""
+
+
+class OverdueWatch:
+    """Looks at one attempt from when its answer is overdue until it ends.
+
+    Parameters
+    ----------
+    loop : Loop
+    patience : Patience
+    instance : Instance
+    is_pending : callable
+        Tells whether the attempt still waits for its answer.
+    give_up : callable
+        Called each time that the instance is found doubted.
+    """
+
+    __slots__ = (
+        "_give_up",
+        "_instance",
+        "_is_pending",
+        "_is_told",
+        "_loop",
+        "_patience",
+        "_timer",
+    )
+
+    def __init__(
+        self,
+        loop: Loop,
+        patience: Patience,
+        instance: Instance,
+        is_pending: Callable[[], bool],
+        give_up: Callable[[], None],
+    ) -> None:
+        self._loop = loop
+        self._patience = patience
+        self._instance = instance
+        self._is_pending = is_pending
+        self._give_up = give_up
+        self._is_told = False
+        self._timer: Timer | None = None
+
+    def begin(self, route: str) -> None:
+        """Start to watch an attempt of a request on ``route``."""
+        usual = self._patience.overdue_after(route, self._instance)
+        if usual > 0.0:
+            self._timer = self._loop.after(usual, self._check)
+
+    def cancel(self) -> None:
+        """Stop watching."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _check(self) -> None:
+        if not self._is_pending():
+            return
+        if not self._is_told:
+            self._is_told = True
+            self._patience.on_overdue(self._instance)
+        self._timer = self._loop.after(RECHECK_MS, self._check)
+        if self._patience.is_doubted(self._instance):
+            self._give_up()
--- a/src/galenaferry/routing/hosts.py
+++ b/src/galenaferry/routing/hosts.py
@@ -149,13 +149,9 @@
     route: HostRoute, facts: ServiceFacts | None, limits: CallerLimits
 ) -> Policy:
     total = route.total_timeout or float(DEFAULT_POLICY.total_timeout_ms)
-    attempt = total
-    if route.is_idempotent and route.max_attempts > 1:
-        # Leaves time for another attempt after one that hangs.
-        attempt = max(route.target_latency, total / 2.0)
     return DEFAULT_POLICY._replace(
         total_timeout_ms=int(total),
-        attempt_timeout_ms=int(min(attempt, total)),
+        attempt_timeout_ms=int(total),
         idle_timeout_ms=int(total),
         connect_timeout_ms=CONNECT_TIMEOUT_MS,
         shed_retry_percent=0,
--- /dev/null
+++ b/src/galenaferry/routing/tests/test_hosts.py
@@ -0,0 +1,68 @@
+"""Routes by host and prefix."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from galenaferry.framing.messages import RequestHead
+from galenaferry.routing.hosts import HostRoutes
+from galenaferry.routing.table import NoConfiguration, NoRoute
+from galenaferry.routing.tests.builders import document, host_route
+
+
+def head(host, target):
+    return RequestHead(b"GET", target, "1.1", ((b"host", host),), 0, True, False)
+
+
+def routes(*rows, version=1):
+    table = HostRoutes(20, Random(1))
+    table.use(document(version, *rows))
+    return table
+
+
+def test_without_a_configuration_nothing_is_said_of_a_route():
+    assert HostRoutes(20, Random(1)).route(head(b"a", b"/x/")) == NoConfiguration()
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "name"),
+    [
+        (b"a.example", b"/x/1", "short"),
+        (b"A.example:80", b"/x/1", "short"),
+        (b"a.example", b"/x/y/1?z=/x/", "long"),
+        (b"a.example", b"/x/y", "short"),
+        (b"a.example", b"/x", None),
+        (b"b.example", b"/x/1", None),
+        (b"a.example", b"*", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(host, target, name):
+    table = routes(host_route("short", b"/x/"), host_route("long", b"/x/y/"))
+    found = table.route(head(host, target))
+    assert found == NoRoute() if name is None else found.name == name
+
+
+def test_services_get_their_shares():
+    table = routes(
+        host_route("split", b"/x/", shares=(("one", 90), ("two", 10), ("none", 0)))
+    )
+    drawn = Counter(
+        table.route(head(b"a.example", b"/x/")).service for _ in range(2000)
+    )
+    assert drawn["none"] == 0
+    assert 0.07 < drawn["two"] / 2000 < 0.13
+
+
+def test_an_older_version_never_comes_back():
+    table = routes(host_route("new", b"/x/"), version=5)
+    assert not table.use(document(4, host_route("old", b"/x/")))
+    assert not table.use(document(5, host_route("old", b"/x/")))
+    assert table.route(head(b"a.example", b"/x/")).name == "new"
+
+
+def test_a_newer_version_replaces_every_route_and_policy():
+    table = routes(host_route("r", b"/x/", total_timeout=3000.0))
+    assert table.route(head(b"a.example", b"/x/")).policy.total_timeout_ms == 3000
+    table.use(document(2, host_route("r", b"/x/", total_timeout=1000.0)))
+    assert table.route(head(b"a.example", b"/x/")).policy.total_timeout_ms == 1000
