--- a/src/galenaferry/backends/connection.py
+++ b/src/galenaferry/backends/connection.py
@@ -1,7 +1,7 @@
 """One connection to an instance, lent to one attempt at a time."""
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import Final, Protocol
 
 from ..clock import Millis
 from ..framing.messages import FramingError, ResponseHead
@@ -9,6 +9,11 @@
 from ..network.loop import Loop
 from ..network.stream import Stream, connect
 
+LONGEST_IDLE_MS: Final = 20_000.0
+"""Idle time of connections whose instance states none."""
+IDLE_SHARE: Final = 0.8
+"""Part of the stated idle time that is used."""
+
 
 class ConnectionOwner(Protocol):
     """What a connection tells the attempt that it is lent to."""
@@ -35,6 +40,19 @@
         """Handle a response that breaks the framing rules."""
 
 
+def idle_limit(head: ResponseHead) -> Millis:
+    """Return for how long the connection may be idle, by what a response says.
+
+    ``Keep-Alive`` gives whole seconds; a part is left for the way there and for the
+    instance's own measure of the time.
+    """
+    for field in (head.header(b"keep-alive") or b"").split(b","):
+        name, _, value = field.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return float(value) * 1000.0 * IDLE_SHARE
+    return LONGEST_IDLE_MS
+
+
 class BackendConnection:
     """Connection that sends one request and reads one response at a time."""
 
@@ -45,6 +63,7 @@
         "_owner",
         "_reader",
         "_stream",
+        "idle_limit",
         "is_open",
         "is_reused",
         "last_heard",
@@ -61,6 +80,7 @@
         self._bytes_before = 0
         self.is_open = True
         self.is_reused = False
+        self.idle_limit: Millis = LONGEST_IDLE_MS
         self.last_heard: Millis = loop.clock.now()
         self.on_idle_closed: Callable[[BackendConnection], None] | None = None
         self._stream: Stream = connect(loop, address, self)
@@ -164,6 +184,7 @@
 
     def on_response_head(self, head: ResponseHead) -> None:
         """Pass on the head (called by the reader)."""
+        self.idle_limit = min(self.idle_limit, idle_limit(head))
         if self._owner is not None:
             self._owner.on_backend_head(head)
 
--- a/src/galenaferry/backends/pool.py
+++ b/src/galenaferry/backends/pool.py
@@ -12,7 +12,6 @@
 from .window import Window
 
 PROOF_OF_LIFE_MS: Final = 1000.0
-LONGEST_IDLE_MS: Final = 20_000.0
 START_WINDOW: Final = 4
 
 
@@ -25,11 +24,19 @@
     instance : Instance
     on_capacity : callable
         Called when an instance may be able to take a waiting request.
+    proof_of_life : float
+        Longest idle time in milliseconds of a connection that gets a request
+        which may not be repeated.
     """
 
     def __init__(
-        self, loop: Loop, instance: Instance, on_capacity: Callable[[], None]
+        self,
+        loop: Loop,
+        instance: Instance,
+        on_capacity: Callable[[], None],
+        proof_of_life: Millis = PROOF_OF_LIFE_MS,
     ) -> None:
+        self._proof_of_life = proof_of_life
         self._loop = loop
         self._on_capacity = on_capacity
         self._idle: deque[BackendConnection] = deque()
@@ -95,8 +102,10 @@
     def close_idle(self) -> None:
         """Close connections that were idle too long."""
         now = self._loop.clock.now()
-        while self._idle and now - self._idle[0].last_heard > LONGEST_IDLE_MS:
-            self._idle.popleft().close()
+        for connection in list(self._idle):
+            if now - connection.last_heard > connection.idle_limit:
+                self._idle.remove(connection)
+                connection.close()
 
     def close_all_idle(self) -> None:
         """Close every idle connection."""
@@ -105,9 +114,10 @@
 
     def _take_idle(self, is_idempotent: bool) -> BackendConnection | None:
         now = self._loop.clock.now()
-        longest = LONGEST_IDLE_MS if is_idempotent else PROOF_OF_LIFE_MS
         while self._idle:
             connection = self._idle[-1]
+            limit = connection.idle_limit
+            longest = limit if is_idempotent else min(limit, self._proof_of_life)
             if now - connection.last_heard > longest:
                 return None
             self._idle.pop()
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -24,6 +24,9 @@
 CONNECTION_RESERVE: Final = 0.9
 """Part of an instance's connections that the fleet uses; the rest is for VMs
 that are being replaced."""
+PROOF_OF_LIFE_MS: Final = 5_000.0
+"""A VM sends a service one or two requests a second, to a few instances; with a
+second, as in ``backends.pool``, nearly each request would need a new connection."""
 TRIERS: Final = 2
 """VMs that try an instance that was sick before the others use it again."""
 FAILED_SPAN_MS: Final = 2_000.0
@@ -152,7 +155,12 @@
         pool = self._pool_by_name.get(instance.name)
         if pool is None:
             service = instance.service
-            pool = InstancePool(self._loop, instance, lambda: self.on_capacity(service))
+            pool = InstancePool(
+                self._loop,
+                instance,
+                lambda: self.on_capacity(service),
+                PROOF_OF_LIFE_MS,
+            )
             self._pool_by_name[instance.name] = pool
         return pool
 
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -383,7 +383,7 @@
         attempt = self._attempt
         ending = TimedOut(is_reused=False)
         verdict = judge(ending)
-        if attempt is None or not self._may_retry(verdict):
+        if attempt is None or not self._may_retry(verdict, pending=1):
             return
         attempt.abandon()
         self._settle(ending, verdict)
@@ -412,11 +412,13 @@
     def _is_still_waiting(self) -> bool:
         return self._is_waiting and not self.is_over
 
-    def _may_retry(self, verdict: Verdict) -> bool:
+    def _may_retry(self, verdict: Verdict, pending: int = 0) -> bool:
+        """Whether another attempt follows beside ``pending`` ones still unsettled."""
         route = self._route
         assert route is not None
+        attempts = self._attempts() + pending
         return not self.is_over and takes_another_attempt(
-            self._context, route, self.body, self._admission, self._attempts(), verdict
+            self._context, route, self.body, self._admission, attempts, verdict
         )
 
     def _attempts(self) -> int:
--- a/src/galenaferry/requests/tests/builders.py
+++ b/src/galenaferry/requests/tests/builders.py
@@ -103,7 +103,7 @@
 class Bench:
     """One VM's request path, backend stand-ins and callers."""
 
-    def __init__(self, text="", modes=(), zones=None, seed=1):
+    def __init__(self, text="", modes=(), zones=None, seed=1, **parts):
         self.clock = FakeClock(1000.0)
         self.root = Component()
         self.loop = Loop(self.clock)
@@ -129,6 +129,7 @@
             RouteTable(configuration, "north"),
             self.observer,
             Random(seed),
+            **parts,
         )
         self.component = RequestsComponent(self.context, (LOOPBACK, 0))
 
