Bound the log lines and never wait for their reader

Change: a token bucket of lines in which ordinary successes leave room for failures, a non-blocking output that loses whole lines and counts them, CLOCK_BOOTTIME for intervals. The test of JSON lines gets an output instead of a stream; its checks stay.

--- a/src/galenaferry/clock.py
+++ b/src/galenaferry/clock.py
@@ -21,8 +21,12 @@
     """Clock of the operating system."""
 
     def now(self) -> Millis:
-        """Return the monotonic time in milliseconds."""
-        return time.monotonic() * 1000.0
+        """Return the monotonic time in milliseconds.
+
+        It counts the time for which the machine was suspended, so that deadlines
+        and idle times hold across it.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
     def wall(self) -> Millis:
         """Return the time since the Unix epoch in milliseconds."""
--- /dev/null
+++ b/src/galenaferry/logs/handler.py
@@ -0,0 +1,96 @@
+"""Structured logs by logbook: readable lines, or one JSON object a line."""
+
+import json
+import sys
+from typing import Any, Final, Protocol, TextIO
+
+import logbook
+
+from ..clock import Clock, Millis, SystemClock
+from .budget import LogBudget, LogLimits
+from .output import LossyOutput
+
+TEXT_FORMAT: Final = "{record.time:%H:%M:%S.%f} {record.level_name} {record.channel}"
+OMITTED_EVERY_MS: Final = 1_000.0
+
+
+class Output(Protocol):
+    """Taker of lines."""
+
+    def write_line(self, line: str) -> bool:
+        """Write a line; False where it was lost."""
+
+
+class StructuredHandler(logbook.Handler):
+    """Handler that writes the message and its extra fields on one line.
+
+    Parameters
+    ----------
+    output : Output
+    as_json : bool
+    clock : Clock
+    limits : LogLimits
+    """
+
+    def __init__(
+        self,
+        output: Output,
+        as_json: bool,
+        clock: Clock,
+        limits: LogLimits = LogLimits(),  # noqa: B008
+    ) -> None:
+        super().__init__(level=logbook.INFO)
+        self._output = output
+        self._as_json = as_json
+        self._clock = clock
+        self._budget = LogBudget(limits)
+        self._told_at: Millis = clock.now()
+
+    def emit(self, record: Any) -> None:
+        """Write a record if there is room for it."""
+        now = self._clock.now()
+        is_minor = record.kwargs.pop("is_minor", False)
+        if self._budget.take(record.channel, is_minor, now):
+            self._write(record.channel, self.format(record))
+        if now - self._told_at >= OMITTED_EVERY_MS:
+            self._told_at = now
+            self._tell_omitted()
+
+    def format(self, record: Any) -> str:
+        """Return the record as one line."""
+        fields = dict(record.kwargs)
+        if self._as_json:
+            head = {
+                "time": record.time.isoformat(),
+                "level": record.level_name,
+                "channel": record.channel,
+                "message": record.msg,
+            }
+            return json.dumps(head | fields, default=str)
+        tail = " ".join(f"{key}={value}" for key, value in fields.items())
+        head_text = TEXT_FORMAT.format(record=record)
+        return f"{head_text}: {record.msg} {tail}".rstrip()
+
+    def _tell_omitted(self) -> None:
+        omitted = self._budget.take_omitted()
+        if not omitted:
+            return
+        line = f"log lines left out: {omitted}"
+        if self._as_json:
+            line = json.dumps({"channel": "logs", "message": "left out", **omitted})
+        self._write("logs", line)
+
+    def _write(self, channel: str, line: str) -> None:
+        if not self._output.write_line(line):
+            self._budget.omit(channel)
+
+
+def set_up_logs(as_json: bool, stream: TextIO = sys.stderr) -> None:
+    """Send all log records of this process to ``stream``."""
+    output = LossyOutput(stream.fileno())
+    StructuredHandler(output, as_json, SystemClock()).push_application()
+
+
+def logger(name: str) -> Any:
+    """Return the logger of the slice called ``name``."""
+    return logbook.Logger(name)
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -301,7 +301,7 @@
 
     def _on_story(self, story: Story) -> None:
         fields = story.fields(self.loop.clock.now())
-        log.info("request", **fields)
+        log.info("request", is_minor=story.is_plain, **fields)
 
     def _on_drain_announced(self) -> None:
         self.context.is_stopping = True
--- a/src/galenaferry/tests/test_process.py
+++ b/src/galenaferry/tests/test_process.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from galenaferry.clock import FakeClock
 from galenaferry.findings import describe
 from galenaferry.logs import StructuredHandler, logger
 from galenaferry.metrics.registry import Metrics
@@ -68,9 +69,21 @@
     assert text in describe(findings).splitlines()
 
 
+class StreamOutput:
+    """Output of log lines that keeps all of them."""
+
+    def __init__(self, stream):
+        self._stream = stream
+
+    def write_line(self, line):
+        self._stream.write(line + "\n")
+        return True
+
+
 def test_logs_are_one_json_object_a_line():
     stream = io.StringIO()
-    with StructuredHandler(stream, as_json=True).applicationbound():
+    output = StreamOutput(stream)
+    with StructuredHandler(output, True, FakeClock()).applicationbound():
         logger("health").warning("health changed", instance="10.0.0.1:80", state="sick")
         logger("drain").info("planned stop asked for")
     rows = [json.loads(line) for line in stream.getvalue().splitlines()]
