Take over a settings file that changes while a VM runs

Cause: SIGHUP, or a file that changes without it, left the old store address, bounds and seeds in force. Also tests of what an answer must show.

--- a/src/galenaferry/node/adapter.py
+++ b/src/galenaferry/node/adapter.py
@@ -15,6 +15,9 @@
 class Store(TableSource, Protocol):
     """Calls to the platform's store."""
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Call the store at another address from now on."""
+
     def put(
         self, table: str, key: str, value: bytes, done: Callable[[str], None]
     ) -> None:
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -37,6 +37,7 @@
 from .adapter import Adapter
 from .configuration import ConfigurationTable
 from .instances import InstancesTable
+from .reload import ReadSettings, SettingsReload
 from .settings import NodeSettings
 from .status import StatusInterface
 
@@ -66,14 +67,21 @@
     Parameters
     ----------
     settings : NodeSettings
-    adapter : callable
-        Gives the platform's adapter on the node's loop.
+    loop : Loop
+    adapter : Adapter
     peer_key : bytes
         Key of the datagrams between VMs.
+    read_settings : callable
+        Reads the settings file again.
     """
 
     def __init__(
-        self, settings: NodeSettings, loop: Loop, adapter: Adapter, peer_key: bytes
+        self,
+        settings: NodeSettings,
+        loop: Loop,
+        adapter: Adapter,
+        peer_key: bytes,
+        read_settings: ReadSettings,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -123,7 +131,7 @@
                 do_uploads_extend=False,
                 certifying_statuses=None,
             ),
-            budgets=FleetBudgets(settings.budget, loop.clock, self._fleet_size),
+            budgets=self._make_budgets(),
             limits=lambda: self.routes.limits,
             retry_after=self._retry_after,
             patience=self.placement,
@@ -149,8 +157,11 @@
         ).register(self)
         loop.every(SHARE_MS, self._share_capacity)
         loop.after(REGISTER_AFTER_MS * random.random(), self._register_vm)
+        self._reload = SettingsReload(loop, settings, read_settings, self._apply)
         # The default action of this signal ends the process.
-        signal.signal(signal.SIGHUP, lambda number, frame: self._on_hangup())
+        signal.signal(
+            signal.SIGHUP, lambda number, frame: loop.soon(self._reload.check)
+        )
         self.configuration.begin()
         self.instances.begin()
 
@@ -208,8 +219,16 @@
     def on_verdicts(self, sender: Member, verdicts: Verdicts) -> None:
         """Do nothing: every VM judges by single outcomes here."""
 
-    def _on_hangup(self) -> None:
-        log.info("the settings file may have changed")
+    def _apply(self, settings: NodeSettings) -> None:
+        """Put changed settings in force; addresses to listen on stay."""
+        self._settings = settings
+        self._adapter.store.move(settings.store)
+        self.table.hint(self._seeds(), self.loop.clock.now())
+        self.context.budgets = self._make_budgets()
+        self.placement.settings = PlacementSettings(settings.zone, settings.floor)
+
+    def _make_budgets(self) -> FleetBudgets:
+        return FleetBudgets(self._settings.budget, self.loop.clock, self._fleet_size)
 
     def _follow(self, table: str, spacing: Millis, on_change: Any) -> TableFollower:
         return TableFollower(
--- /dev/null
+++ b/src/galenaferry/node/tests/test_reload.py
@@ -0,0 +1,42 @@
+"""Settings that change while a VM runs."""
+
+from result import Err, Ok
+
+from galenaferry.clock import FakeClock
+from galenaferry.findings import Finding
+from galenaferry.network.loop import Loop
+from galenaferry.node.reload import SettingsReload
+from galenaferry.platform.settings import read_node_file
+from galenaferry.platform.tests.builders import NODE_FILE
+
+SETTINGS = read_node_file("local.toml", NODE_FILE).unwrap()
+
+
+class File:
+    def __init__(self):
+        self.result = Ok(SETTINGS)
+        self.applied = []
+        self.reload = SettingsReload(
+            Loop(FakeClock()), SETTINGS, lambda: self.result, self.applied.append
+        )
+
+
+def test_a_file_that_stays_the_same_changes_nothing():
+    file = File()
+    file.reload.check()
+    assert file.applied == []
+
+
+def test_changed_settings_are_applied_once():
+    file = File()
+    file.result = Ok(SETTINGS._replace(store=("10.9.9.9", 1)))
+    file.reload.check()
+    file.reload.check()
+    assert [settings.store for settings in file.applied] == [("10.9.9.9", 1)]
+
+
+def test_an_unsound_file_leaves_the_settings_in_force():
+    file = File()
+    file.result = Err([Finding("local.toml", "", "zone", 0, "a value is needed")])
+    file.reload.check()
+    assert file.applied == []
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -77,7 +77,7 @@
         tell: Callable[[Outcomes], None],
     ) -> None:
         self._loop = loop
-        self._settings = settings
+        self.settings = settings
         self._random = random
         self._tell = tell
         self._untold: list[Shown] = []
@@ -138,7 +138,7 @@
         wish = Wish(
             is_repeatable=ask.is_repeatable,
             answer_kb=self._kb_by_route.get(ask.route, 1.0),
-            floor=self._settings.floor,
+            floor=self.settings.floor,
         )
         return choose_option(options, wish, self._random)
 
--- a/src/galenaferry/platform/__main__.py
+++ b/src/galenaferry/platform/__main__.py
@@ -5,9 +5,9 @@
 from pathlib import Path
 from typing import Final
 
-from result import Err
+from result import Err, Result
 
-from ..findings import describe
+from ..findings import Finding, describe
 from ..logs import set_up_logs
 from ..network.loop import Loop
 from ..node.adapter import Adapter, TableNames
@@ -34,12 +34,7 @@
 def main() -> None:
     """Read the node file and serve."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    try:
-        text = path.read_text(encoding="utf-8")
-    except OSError as error:
-        sys.stderr.write(f"{SETTINGS_VARIABLE}: {error}\n")
-        raise SystemExit(EXIT_BAD_SETTINGS) from None
-    result = read_node_file(str(path), text)
+    result = read_settings(path)
     if isinstance(result, Err):
         sys.stderr.write(describe(result.err_value) + "\n")
         raise SystemExit(EXIT_BAD_SETTINGS)
@@ -48,13 +43,23 @@
     peer_key = os.environ.get(PEER_KEY_VARIABLE, "").encode()
     loop = Loop()
     try:
-        node = Node(settings, loop, make_adapter(settings, loop), peer_key)
+        adapter = make_adapter(settings, loop)
+        node = Node(settings, loop, adapter, peer_key, lambda: read_settings(path))
         run(node, settings.name)
     except OSError as error:
         sys.stderr.write(f"{settings.name}: can't serve: {error}\n")
         raise SystemExit(EXIT_CANNOT_SERVE) from None
 
 
+def read_settings(path: Path) -> Result[NodeSettings, list[Finding]]:
+    """Return the settings in the node file, or all findings together."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([Finding(str(path), "", "", 0, f"can't be read: {error}")])
+    return read_node_file(str(path), text)
+
+
 def make_adapter(settings: NodeSettings, loop: Loop) -> Adapter:
     """Return the platform's names, formats and calls."""
     return Adapter(
--- a/src/galenaferry/platform/store.py
+++ b/src/galenaferry/platform/store.py
@@ -36,7 +36,11 @@
 
     def __init__(self, loop: Loop, address: tuple[str, int]) -> None:
         self._loop = loop
-        self.address = address
+        self._address = address
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Call the store at another address from now on."""
+        self._address = address
 
     def read_all(self, table: str, done: NewsDone) -> None:
         """Read all rows of a table, page by page."""
@@ -61,7 +65,7 @@
         text = base64.b64encode(value).decode()
         body = {"expected": [], "put": [row | {"value": text}], "remove": []}
         request = FetchRequest(
-            self.address,
+            self._address,
             "POST",
             "/rows-tx",
             ((b"content-type", b"application/json"),),
@@ -110,7 +114,9 @@
     ) -> None:
         target = f"{path}?{urlencode(query)}"
         fetch(
-            self._loop, FetchRequest(self.address, "GET", target, timeout=timeout), done
+            self._loop,
+            FetchRequest(self._address, "GET", target, timeout=timeout),
+            done,
         )
 
 
--- a/src/galenaferry/platform/tests/test_boundary.py
+++ b/src/galenaferry/platform/tests/test_boundary.py
@@ -28,6 +28,7 @@
         str(path.relative_to(PACKAGE))
         for path in PACKAGE.rglob("*.py")
         if "platform" not in path.relative_to(PACKAGE).parts
+        and "tests" not in path.parts
         and re.search(r"from (\.+|galenaferry\.)platform[ .]", path.read_text())
     ]
     assert importing == []
--- /dev/null
+++ b/src/galenaferry/requests/tests/test_interface.py
@@ -0,0 +1,93 @@
+"""What an instance's answer must show before it is taken for one."""
+
+import pytest
+
+from galenaferry.framing.messages import ResponseHead
+from galenaferry.requests.interface import (
+    HeaderNames,
+    RequestSettings,
+    find_fault,
+    is_certified_not_run,
+)
+from galenaferry.requests.tests.builders import Bench, faulty, healthy
+
+NAMES = HeaderNames(
+    request_id=b"id",
+    not_run=(b"not-run", b""),
+    signature=b"signature",
+    expected_instance=b"expected",
+)
+SETTINGS = RequestSettings(names=NAMES, certifying_statuses=None)
+HOLDING = RequestSettings(held_bytes=1 << 20)
+
+
+def head(status, **headers):
+    pairs = tuple(
+        (name.replace("_", "-").encode(), value) for name, value in headers.items()
+    )
+    return ResponseHead(status, b"", pairs, 0)
+
+
+@pytest.mark.parametrize(
+    ("response", "fault"),
+    [
+        (head(200, id=b"one", signature=b"s"), ""),
+        (head(200, signature=b"s"), ""),
+        (head(500, id=b"one"), ""),
+        (head(200, id=b"two", signature=b"s"), "it answers another request"),
+        (head(500, id=b"two"), "it answers another request"),
+        (head(200, id=b"one"), "a success without a signature"),
+        (
+            head(200, id=b"one", signature=b"s", content_encoding=b"gzip"),
+            "an encoding that nobody asked for",
+        ),
+    ],
+)
+def test_a_response_that_is_not_the_answer_is_found(response, fault):
+    assert find_fault(NAMES, response, b"one") == fault
+
+
+@pytest.mark.parametrize(
+    ("response", "is_certified"),
+    [
+        (head(503, not_run=b"1"), True),
+        (head(429, not_run=b"1"), True),
+        (head(421), True),
+        (head(503), False),
+        (head(504), False),
+    ],
+)
+def test_only_the_instance_certifies(response, is_certified):
+    assert is_certified_not_run(SETTINGS, response) is is_certified
+
+
+def test_a_cut_answer_that_was_held_is_tried_elsewhere():
+    text = "[defaults]\nretry_budget_percent = 100\nmax_attempts = 2\n"
+    bench = Bench(text, [faulty(truncate_part=1.0), healthy()], settings=HOLDING)
+    for _ in range(4):
+        status, _, body = bench.caller().get("/bookings/x").answers()[0]
+        assert (status, body) == (200, b"GET /bookings/x 0\n")
+
+
+def test_a_cut_answer_to_a_booking_never_looks_complete():
+    bench = Bench(modes=[faulty(truncate_part=1.0)], settings=HOLDING)
+    status, headers, _ = bench.caller().post("/bookings/x").answers()[0]
+    assert (status, headers["galenaferry-ran"]) == (502, "unknown")
+
+
+def test_an_answer_too_long_to_hold_is_passed_on_as_it_comes():
+    bench = Bench(modes=[healthy()], settings=RequestSettings(held_bytes=1000))
+    caller = bench.caller().get("/bookings/size/200000")
+    bench.run(lambda: len(caller.received) > 200_000, caller)
+    assert caller.received.startswith(b"HTTP/1.1 200")
+
+
+def test_the_end_of_a_callers_sending_can_mean_that_it_has_left():
+    settings = RequestSettings(leaves_by_half_close=True)
+    bench = Bench(modes=[faulty(slow_factor=100.0)], settings=settings)
+    caller = bench.caller().get("/bookings/x")
+    bench.run_for(50.0, caller)
+    caller._sock.shutdown(1)
+    bench.run(lambda: bench.component.in_flight == 0, caller)
+    assert bench.context.counters.callers_left == 1
+    assert sum(p.open_count for p in bench.directory.pool_by_address.values()) == 0
