Learn sizes of answers, return load to owners, give up on lost answers

Ruled out: failing of unknown cause (77 of 100 clusters of failures are single ones, as the background error share and first failures of spells give).

Change: the size of held answers is learned by route; using another VM's slots costs more than a new connection; a request that may be repeated risks a doubtful instance and gives up an answer three times later than nine in ten.

--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -319,6 +319,8 @@
         return SHORTEST_RETRY_AFTER_MS + spread * self._random.random()
 
     def _on_story(self, story: Story) -> None:
+        if story.is_plain and story.size:
+            self.placement.note_size(story.route, story.size)
         fields = story.fields(self.loop.clock.now())
         log.info("request", is_minor=story.is_plain, **fields)
 
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -37,6 +37,9 @@
 """An answer is slow beyond this many times what nine in ten stay below."""
 DOUBTED_ABOVE: Final = 0.6
 """Sickness from which an overdue request is tried elsewhere if it may be."""
+FORSAKEN_AFTER: Final = 1.5
+"""An answer is not expected any more after this many times the time after which it
+was overdue: three times what nine in ten answers stay below."""
 SIZE_WEIGHT: Final = 0.2
 """Weight of the newest answer in the usual size of a route's answers."""
 
@@ -226,8 +229,10 @@
         self._belief(instance, now).add(Outcome.SLOW, now)
         self._tell_soon(Shown(instance_key(instance.name), Outcome.SLOW))
 
-    def is_doubted(self, instance: Instance) -> bool:
-        """Whether the instance is probably sick by all that is known."""
+    def is_doubted(self, instance: Instance, waited: float) -> bool:
+        """Whether no answer is expected any more (see ``requests.overdue``)."""
+        if waited >= FORSAKEN_AFTER:
+            return True
         now = self._loop.clock.now()
         return self._belief(instance, now).sick(now) > DOUBTED_ABOVE
 
--- a/src/galenaferry/placing/decisions.py
+++ b/src/galenaferry/placing/decisions.py
@@ -18,9 +18,13 @@
 """Sickness up to which any request may go to an instance: a little above what
 is usual (``SicknessModel.usual``), so that time alone brings it back."""
 TRIAL_BELOW: Final = 0.5
-"""Sickness up to which few VMs send single requests to find out."""
+"""Sickness up to which requests that may be repeated find out, and single other
+ones of few VMs."""
 RISK_COST: Final = 1.0
 """Cost of a request that fails, the unit of all costs here."""
+REPEATABLE_RISK_COST: Final = 0.4
+"""Cost of a failure that another attempt makes good: its time and a part of the
+retry budget."""
 CONNECTION_COST: Final = 0.05
 """A new connection takes some slot time and about 1 ms (the brief)."""
 REMOTE_COST: Final = 0.01
@@ -28,8 +32,9 @@
 REMOTE_COST_PER_KB: Final = 0.006
 """Bytes between zones cost more than usual (the brief), so that large answers
 stay in their zone."""
-STRANGE_COST: Final = 0.05
-"""Cost of an instance whose slots other VMs are to use first."""
+STRANGE_COST: Final = 0.12
+"""Cost of an instance whose slots other VMs are to use first. Above that of a new
+connection, so that load returns to its owner after an instance was left out."""
 LOAD_COST: Final = 0.08
 """Cost of each request of this VM that the instance has in progress."""
 COLD_COST: Final = 0.2
@@ -96,7 +101,7 @@
 
 
 def _is_trusted(option: Option, wish: Wish) -> bool:
-    if option.sick < TRUSTED_BELOW:
+    if option.sick < (TRIAL_BELOW if wish.is_repeatable else TRUSTED_BELOW):
         return True
     may_try = option.is_trier and option.in_flight == 0
     return may_try and option.sick < TRIAL_BELOW
@@ -106,7 +111,8 @@
     # What makes an instance look better than usual is no reason for all VMs to
     # crowd there.
     risk = max(0.0, option.sick - USUAL_RISK)
-    cost = RISK_COST * risk + LOAD_COST * option.in_flight
+    unit = REPEATABLE_RISK_COST if wish.is_repeatable else RISK_COST
+    cost = unit * risk + LOAD_COST * option.in_flight
     if not option.is_warm:
         cost += CONNECTION_COST
     if not option.is_own:
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -244,8 +244,10 @@
         held, self._held = self._held, None
         if held is not None:
             self.is_answer_started = True
+            body = held.body
+            self._story.size = len(body)
             self._sink.start_answer(held.head, held.extra)
-            self._sink.answer_body(held.body)
+            self._sink.answer_body(body)
 
     def on_attempt_ended(self, ending: Ending) -> None:
         """Retry or answer after an attempt without a whole response."""
--- a/src/galenaferry/requests/overdue.py
+++ b/src/galenaferry/requests/overdue.py
@@ -21,8 +21,12 @@
     def on_overdue(self, instance: Instance) -> None:
         """Take an overdue answer for a sign that the instance is sick."""
 
-    def is_doubted(self, instance: Instance) -> bool:
-        """Whether the instance is probably sick by all that is known."""
+    def is_doubted(self, instance: Instance, waited: float) -> bool:
+        """Whether no answer is expected any more.
+
+        ``waited`` is the time since the attempt began, in units of the time after
+        which it was overdue.
+        """
 
 
 class OverdueWatch:
@@ -40,11 +44,13 @@
     """
 
     __slots__ = (
+        "_began_at",
         "_give_up",
         "_instance",
         "_is_pending",
         "_is_told",
         "_loop",
+        "_overdue_after",
         "_patience",
         "_timer",
     )
@@ -63,13 +69,15 @@
         self._is_pending = is_pending
         self._give_up = give_up
         self._is_told = False
+        self._began_at = loop.clock.now()
+        self._overdue_after: Millis = 0.0
         self._timer: Timer | None = None
 
     def begin(self, route: str) -> None:
         """Start to watch an attempt of a request on ``route``."""
-        usual = self._patience.overdue_after(route, self._instance)
-        if usual > 0.0:
-            self._timer = self._loop.after(usual, self._check)
+        self._overdue_after = self._patience.overdue_after(route, self._instance)
+        if self._overdue_after > 0.0:
+            self._timer = self._loop.after(self._overdue_after, self._check)
 
     def cancel(self) -> None:
         """Stop watching."""
@@ -83,5 +91,6 @@
             self._is_told = True
             self._patience.on_overdue(self._instance)
         self._timer = self._loop.after(RECHECK_MS, self._check)
-        if self._patience.is_doubted(self._instance):
+        waited = (self._loop.clock.now() - self._began_at) / self._overdue_after
+        if self._patience.is_doubted(self._instance, waited):
             self._give_up()
--- a/src/galenaferry/requests/story.py
+++ b/src/galenaferry/requests/story.py
@@ -10,6 +10,8 @@
 class Story:
     """Attempts and the end of one request.
 
+    ``size`` is the length of the answer's body in bytes where it was held.
+
     Parameters
     ----------
     request_id : bytes
@@ -25,6 +27,7 @@
         "request_id",
         "route",
         "sent_count",
+        "size",
         "status",
     )
 
@@ -36,6 +39,7 @@
         self.reason = ""
         self.ran = Ran.NOT_RUN
         self.sent_count = 0
+        self.size = 0
         self._attempts: list[tuple[str, str, int]] = []
 
     @property
--- a/src/galenaferry/requests/tests/test_overdue.py
+++ b/src/galenaferry/requests/tests/test_overdue.py
@@ -19,7 +19,7 @@
     def on_overdue(self, instance):
         self.overdue.append(instance.address)
 
-    def is_doubted(self, instance):
+    def is_doubted(self, instance, waited):
         return self._is_doubting
 
 
