Take answers for overdue by the newest latencies, not by a slow estimate

Change: nine in ten of the newest 64 answers of a route, and the route's target until ten are known.

--- a/src/galenaferry/health/evidence.py
+++ b/src/galenaferry/health/evidence.py
@@ -21,11 +21,6 @@
     def __init__(self) -> None:
         self._limit = 0.0
 
-    @property
-    def value(self) -> Millis:
-        """The estimate; 0 before the first answer."""
-        return self._limit
-
     def is_slow(self, latency: Millis) -> bool:
         """Whether ``latency`` is above the estimate, which it then moves."""
         if self._limit == 0.0:
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -15,10 +15,10 @@
 from ..clock import Millis
 from ..configuration.policy import Policy
 from ..health.beliefs import Belief, Beliefs, Outcome, SicknessModel
-from ..health.evidence import SlowLimit
 from ..health.messages import Outcomes, Shown, instance_key
 from ..network.loop import Loop
 from .decisions import Option, Wish, choose_option
+from .latency import UsualLatency
 from .reach import Reach
 
 CONNECTION_RESERVE: Final = 0.9
@@ -89,7 +89,7 @@
         self._name_by_key: dict[int, str] = {}
         self._instance_by_address: dict[str, Instance] = {}
         self._pool_by_name: dict[str, InstancePool] = {}
-        self._slow_by_class: dict[tuple[str, bool], SlowLimit] = {}
+        self._latency_by_route: dict[str, UsualLatency] = {}
         self._kb_by_route: dict[str, float] = {}
         self._borrowing = Borrowing()
         self._me = Vm("", settings.zone)
@@ -196,11 +196,11 @@
         now = self._loop.clock.now()
         if outcome is Outcome.GOOD:
             self._reach.on_answer(instance.name)
-            limit = self._slow_limit(route, instance)
-            if 0.0 < SLOW_FACTOR * limit.value < latency:
+            usual = self._usual_latency(route)
+            if 0.0 < SLOW_FACTOR * usual.bound < latency:
                 # Told when the answer became overdue.
                 outcome = None
-            limit.is_slow(latency)
+            usual.add(latency)
         elif outcome is Outcome.UNREACHABLE:
             self._reach.on_failure(instance.name, now)
         if outcome is None:
@@ -219,9 +219,12 @@
             if name is not None:
                 self._beliefs.of(name, now).add(shown.outcome, now)
 
-    def overdue_after(self, route: str, instance: Instance) -> Millis:
-        """Return the time beyond which an answer is overdue, 0 if not known."""
-        return SLOW_FACTOR * self._slow_limit(route, instance).value
+    def overdue_after(self, route: str, target: Millis) -> Millis:
+        """Return the time beyond which an answer is overdue, 0 if not known.
+
+        Before this VM has seen enough answers it is the target of the route.
+        """
+        return SLOW_FACTOR * self._usual_latency(route).bound or target
 
     def on_overdue(self, instance: Instance) -> None:
         """Take an overdue answer for a sign that the instance is sick."""
@@ -298,12 +301,11 @@
             self._triers_by_name[instance.name] = known
         return known
 
-    def _slow_limit(self, route: str, instance: Instance) -> SlowLimit:
-        place = (route, instance.zone == self.zone)
-        limit = self._slow_by_class.get(place)
-        if limit is None:
-            limit = self._slow_by_class[place] = SlowLimit()
-        return limit
+    def _usual_latency(self, route: str) -> UsualLatency:
+        usual = self._latency_by_route.get(route)
+        if usual is None:
+            usual = self._latency_by_route[route] = UsualLatency()
+        return usual
 
     def _tell_soon(self, shown: Shown) -> None:
         if not self._untold:
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -378,7 +378,7 @@
             lambda: self._attempt is attempt and attempt.is_waiting,
             self._on_doubted,
         )
-        self._overdue.begin(route.name)
+        self._overdue.begin(route.name, route.target_latency)
 
     def _on_doubted(self) -> None:
         """Try a request that may be repeated elsewhere while there is time."""
--- a/src/galenaferry/requests/overdue.py
+++ b/src/galenaferry/requests/overdue.py
@@ -15,8 +15,11 @@
 class Patience(Protocol):
     """What is known of how long answers take."""
 
-    def overdue_after(self, route: str, instance: Instance) -> Millis:
-        """Return the time beyond which an answer is overdue, 0 if not known."""
+    def overdue_after(self, route: str, target: Millis) -> Millis:
+        """Return the time beyond which an answer is overdue, 0 if not known.
+
+        ``target`` is the time in which the operator wants an answer.
+        """
 
     def on_overdue(self, instance: Instance) -> None:
         """Take an overdue answer for a sign that the instance is sick."""
@@ -73,9 +76,9 @@
         self._overdue_after: Millis = 0.0
         self._timer: Timer | None = None
 
-    def begin(self, route: str) -> None:
+    def begin(self, route: str, target: Millis) -> None:
         """Start to watch an attempt of a request on ``route``."""
-        self._overdue_after = self._patience.overdue_after(route, self._instance)
+        self._overdue_after = self._patience.overdue_after(route, target)
         if self._overdue_after > 0.0:
             self._timer = self._loop.after(self._overdue_after, self._check)
 
--- a/src/galenaferry/requests/tests/test_overdue.py
+++ b/src/galenaferry/requests/tests/test_overdue.py
@@ -13,7 +13,7 @@
         self.overdue = []
         self._is_doubting = is_doubting
 
-    def overdue_after(self, route, instance):
+    def overdue_after(self, route, target):
         return 20.0
 
     def on_overdue(self, instance):
