Keep connections through responses that nobody wants, and read over late ones

A late second response made the request unknown whose turn it met, though its id tells that it belongs to an earlier one. Ruled out: idle limits (bookings already use connections idle up to 5 s).

Change: the rest of a small unwanted response is read and its connection kept; a response with another request's id is read over and the own one waited for.

--- a/src/galenaferry/backends/connection.py
+++ b/src/galenaferry/backends/connection.py
@@ -112,10 +112,15 @@
             and not reader.has_excess
         )
 
-    def lend(self, owner: ConnectionOwner, is_head_request: bool) -> None:
-        """Bind the connection to an attempt."""
+    def lend(
+        self,
+        owner: ConnectionOwner,
+        is_head_request: bool,
+        is_foreign: Callable[[ResponseHead], bool],
+    ) -> None:
+        """Bind the connection to an attempt (see ``ResponseReader``)."""
         self._owner = owner
-        self._reader = ResponseReader(self, is_head_request)
+        self._reader = ResponseReader(self, is_head_request, is_foreign)
         self._bytes_before = self._stream.bytes_sent
 
     def give_back(self) -> None:
--- a/src/galenaferry/framing/responses.py
+++ b/src/galenaferry/framing/responses.py
@@ -1,5 +1,6 @@
 """Reader of one response on a backend server's connection."""
 
+from collections.abc import Callable
 from typing import Any, Final, Protocol
 
 import httptools
@@ -23,6 +24,10 @@
         """Handle the end of the response."""
 
 
+def _is_never_foreign(head: ResponseHead) -> bool:
+    return False
+
+
 class ResponseReader:
     """Parser of the one response that a request gets.
 
@@ -34,10 +39,20 @@
     owner : ResponseOwner
     is_head_request : bool
         Whether the request's method was HEAD, whose response has no body.
+    is_foreign : callable
+        Tells from its head that a response belongs to an earlier request; such a
+        one is read over.
     """
 
-    def __init__(self, owner: ResponseOwner, is_head_request: bool) -> None:
+    def __init__(
+        self,
+        owner: ResponseOwner,
+        is_head_request: bool,
+        is_foreign: Callable[[ResponseHead], bool] = _is_never_foreign,
+    ) -> None:
         self._owner = owner
+        self._is_foreign = is_foreign
+        self._is_skipping = False
         self._is_head_request = is_head_request
         self._parser: Any = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
@@ -73,7 +88,8 @@
             if not self.is_complete:
                 raise FramingError(502, f"bad response: {error}") from None
             self.has_excess = True
-        if not self.is_head_complete and self._head_bytes > LARGEST_HEAD_BYTES:
+        is_in_head = not (self.is_head_complete or self._is_skipping)
+        if is_in_head and self._head_bytes > LARGEST_HEAD_BYTES:
             raise FramingError(502, "the head of the response is too large")
 
     def end(self) -> None:
@@ -120,9 +136,12 @@
         self._is_informational = status < 200
         if self._is_informational:
             return
-        self.is_head_complete = True
         self.is_persistent = self._parser.should_keep_alive()
         head = self._build_head(status)
+        self._is_skipping = self._is_foreign(head)
+        if self._is_skipping:
+            return
+        self.is_head_complete = True
         self._owner.on_response_head(head)
         if self._is_bodiless(status):
             self._complete()
@@ -132,12 +151,17 @@
         if self.is_complete:
             self.has_excess = True
             return
-        self._owner.on_response_body(data)
+        if not self._is_skipping:
+            self._owner.on_response_body(data)
 
     def on_message_complete(self) -> None:
         """Tell the end of the response (called by httptools)."""
         if self.is_complete or self._is_informational:
             return
+        if self._is_skipping:
+            self._is_skipping = False
+            self._head_bytes = 0
+            return
         self._complete()
 
     def _refuse(self, text: str) -> None:
--- /dev/null
+++ b/src/galenaferry/framing/tests/test_foreign.py
@@ -0,0 +1,64 @@
+"""Late responses to earlier requests are read over."""
+
+import pytest
+
+from galenaferry.framing.messages import FramingError
+from galenaferry.framing.responses import ResponseReader
+
+FOREIGN = b"HTTP/1.1 200 OK\r\nid: old\r\ncontent-length: 3\r\n\r\nold"
+FOREIGN_CHUNKED = b"HTTP/1.1 200 OK\r\nid: old\r\ntransfer-encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n"
+FOREIGN_UNFRAMED = b"HTTP/1.1 200 OK\r\nid: old\r\n\r\nold"
+OWN = b"HTTP/1.1 201 Created\r\nid: own\r\ncontent-length: 3\r\n\r\nown"
+
+
+class Owner:
+    def __init__(self):
+        self.status = 0
+        self.body = b""
+        self.is_complete = False
+
+    def on_response_head(self, head):
+        self.status = head.status
+
+    def on_response_body(self, data):
+        self.body += data
+
+    def on_response_complete(self):
+        self.is_complete = True
+
+
+def read(data, step):
+    owner = Owner()
+    reader = ResponseReader(owner, False, lambda head: head.header(b"id") != b"own")
+    for start in range(0, len(data), step):
+        reader.feed(data[start : start + step])
+    return owner, reader
+
+
+@pytest.mark.parametrize("late", [FOREIGN, FOREIGN_CHUNKED, FOREIGN + FOREIGN])
+@pytest.mark.parametrize("step", [1, 7, 1000])
+def test_a_late_response_is_read_over(late, step):
+    owner, reader = read(late + OWN, step)
+    assert (owner.status, owner.body, owner.is_complete) == (201, b"own", True)
+    assert not reader.has_excess
+
+
+@pytest.mark.parametrize("step", [1, 1000])
+def test_a_late_response_alone_is_no_answer(step):
+    owner, reader = read(FOREIGN, step)
+    assert (owner.status, owner.body, owner.is_complete) == (0, b"", False)
+    with pytest.raises(FramingError):
+        reader.end()
+
+
+def test_a_late_response_without_a_length_never_ends_as_an_answer():
+    owner, reader = read(FOREIGN_UNFRAMED + OWN, 1000)
+    with pytest.raises(FramingError):
+        reader.end()
+    assert (owner.status, owner.is_complete) == (0, False)
+
+
+def test_what_follows_the_own_answer_is_excess():
+    owner, reader = read(OWN + FOREIGN, 1000)
+    assert owner.body == b"own"
+    assert reader.has_excess
--- a/src/galenaferry/requests/attempt.py
+++ b/src/galenaferry/requests/attempt.py
@@ -1,6 +1,7 @@
 """One attempt: a request on its way to one instance and the response back."""
 
-from typing import Protocol
+from collections.abc import Callable
+from typing import Final, Protocol
 
 from ..attempts.messages import (
     BadResponse,
@@ -20,6 +21,12 @@
 from ..network.loop import Loop, Timer
 from .body import RequestBody
 
+SKIPPED_BYTES: Final = 65_536
+"""Largest body of a response that nobody wants which is read all the same, to
+spare a new connection; one read of the socket (``network.stream``)."""
+SKIP_TIMEOUT_MS: Final = 500.0
+"""Time for the rest of such a response; its head has come already."""
+
 
 class AttemptOwner(Protocol):
     """What an attempt tells its exchange."""
@@ -63,6 +70,7 @@
         "_is_chunked",
         "_is_done",
         "_is_head_passed",
+        "_is_skipping",
         "_loop",
         "_owner",
         "_policy",
@@ -91,6 +99,7 @@
         self._is_body_sent = False
         self._is_head_passed = False
         self._is_done = False
+        self._is_skipping = False
         self.started: Millis = loop.clock.now()
 
     @property
@@ -114,13 +123,18 @@
         return self._connection.is_reused
 
     def start(
-        self, head: bytes, body: RequestBody, is_chunked: bool, is_head: bool
+        self,
+        head: bytes,
+        body: RequestBody,
+        is_chunked: bool,
+        is_head: bool,
+        is_foreign: Callable[[ResponseHead], bool],
     ) -> None:
         """Send the request as soon as the connection is there."""
         self._head = head
         self._body = body
         self._is_chunked = is_chunked
-        self._connection.lend(self, is_head)
+        self._connection.lend(self, is_head, is_foreign)
         if self._connection.is_connected:
             self._send_head()
         else:
@@ -161,8 +175,22 @@
             return
         self._arm(self._policy.idle_timeout_ms)
         self._is_head_passed = self._owner.on_attempt_head(head)
-        if not self._is_head_passed:
+        if not self._is_head_passed and not self._is_done:
+            self._skip_rest(head)
+
+    def _skip_rest(self, head: ResponseHead) -> None:
+        """End the attempt, and keep its connection where little is left to read."""
+        if head.length is None or head.length > SKIPPED_BYTES or not self._is_body_sent:
             self.abandon()
+            return
+        self._finish()
+        self._is_skipping = True
+        self._timer = self._loop.after(SKIP_TIMEOUT_MS, self._discard_skipped)
+
+    def _discard_skipped(self) -> None:
+        if self._is_skipping:
+            self._is_skipping = False
+            self.pool.discard(self._connection)
 
     def on_backend_body(self, data: bytes) -> None:
         """Pass on a part of the body (called by the connection)."""
@@ -171,6 +199,10 @@
 
     def on_backend_complete(self) -> None:
         """Free the connection and end (called by the connection)."""
+        if self._is_skipping:
+            self._is_skipping = False
+            self._finish()
+            self._loop.soon(self._return_connection)
         if self._is_done:
             return
         self._finish()
@@ -180,6 +212,7 @@
 
     def on_backend_broken(self, reason: str) -> None:
         """End the attempt by what the break proves (called by the connection)."""
+        self._discard_skipped()
         if self._is_head_passed:
             self._end(BrokenResponse(reason))
         elif not self._connection.is_connected:
@@ -191,6 +224,7 @@
 
     def on_backend_bad(self, text: str) -> None:
         """End the attempt after a framing error (called by the connection)."""
+        self._discard_skipped()
         if self._is_head_passed:
             self._end(BrokenResponse(text))
         else:
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -198,9 +198,11 @@
         """Pass the head on, or give the response up for another attempt."""
         settings = self._context.settings
         ending = classify_status(head.status, is_certified_not_run(settings, head))
-        fault = find_fault(settings.names, head, self._request_id)
+        fault = find_fault(settings.names, head)
         if fault:
             ending = BadResponse(fault)
+            if self._attempt is not None:
+                self._attempt.abandon()
         draining = settings.names.draining
         if draining and head.header(draining) and self._instance is not None:
             self._context.directory.note_draining(self._instance.address)
@@ -361,9 +363,15 @@
             self.body,
             self.head.length is None,
             self.head.method == b"HEAD",
+            self._is_foreign,
         )
         self._watch(attempt, instance, route)
 
+    def _is_foreign(self, head: ResponseHead) -> bool:
+        """Whether a response that comes late belongs to an earlier request."""
+        echoed = head.header(self._context.settings.names.request_id)
+        return echoed is not None and echoed != self._request_id
+
     def _watch(self, attempt: Attempt, instance: Instance, route: Route) -> None:
         """Look after the attempt once its answer takes longer than usual."""
         context = self._context
--- a/src/galenaferry/requests/interface.py
+++ b/src/galenaferry/requests/interface.py
@@ -66,19 +66,8 @@
     return given is not None and (not value or given == value)
 
 
-def find_fault(names: HeaderNames, head: ResponseHead, request_id: bytes) -> str:
-    """Return why a response can't be the answer to a request, empty if it can.
-
-    Parameters
-    ----------
-    names : HeaderNames
-    head : ResponseHead
-    request_id : bytes
-        The identifier that was sent; an instance echoes it.
-    """
-    echoed = head.header(names.request_id)
-    if echoed is not None and echoed != request_id:
-        return "it answers another request"
+def find_fault(names: HeaderNames, head: ResponseHead) -> str:
+    """Return why a response can't be an instance's answer, empty if it can."""
     if not names.signature or head.status >= 300:
         return ""
     if head.header(names.signature) is None:
