Let six VMs read the instances for all, and tell the others by datagram

Ruled out: configuration reads (some six calls a VM), longer gathering (the time in which a leaving instance must get nothing new is 2 s).

Change: six VMs, by rendezvous hashing among those that the store serves, read the instances; they tell changed rows at once and their version each second. A VM that misses rows asks for what changed since its version; one that hears no reader for 1.5 s reads by itself. An instance that has ended is no attempt.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -5,6 +5,7 @@
 one of them, since its connection may be silent or the store may turn it away.
 """
 
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Final, NamedTuple
@@ -14,27 +15,46 @@
 from ..clock import Millis
 from ..logs import logger
 from ..network.loop import Loop, Timer
-from .messages import HistoryLost, TableError, TableNews, TableRow, TableSource
+from .history import TableHistory
+from .messages import (
+    NEVER_FAILED_MS,
+    HistoryLost,
+    TableError,
+    TableNews,
+    TableNotice,
+    TableRow,
+    TableSource,
+)
+from .readers import ANNOUNCE_MS, needs_own_read
 
 WAIT_MS: Final = 20_000.0
 """How long the store holds a read without news; under its limit of 30 s."""
 FIRST_RETRY_MS: Final = 100.0
 LONGEST_RETRY_MS: Final = 1_000.0
 """A store that is back must be noticed within a second or two."""
+SUPERVISE_MS: Final = 250.0
+ANNOUNCED_ROWS: Final = 10
+"""Rows that are told at once; at some 250 bytes each they fill two packets."""
 PATIENCE_MS: Final = 250.0
 """Time in which the own read should bring what another VM has already."""
 
-AskPeer = Callable[[str, str, Callable[[Result[TableNews, TableError]], None]], None]
-"""Asks the VM at an address for its copy of a table."""
+AskPeer = Callable[
+    [str, str, int, Callable[[Result[TableNews, TableError]], None]], None
+]
+"""Asks the VM at an address for what has changed in a table since a version."""
 
 log = logger("discovery")
 
 
 class FollowerSettings(NamedTuple):
-    """How a table is followed; ``spacing`` in milliseconds lets news gather."""
+    """How a table is followed; ``spacing`` in milliseconds lets news gather.
+
+    ``is_shared`` tells that some VMs read the table for all.
+    """
 
     table: str
     spacing: Millis
+    is_shared: bool = False
 
 
 class TableFollower:
@@ -49,6 +69,10 @@
     random : Random
     on_change : callable
         Called with the rows that changed; for removed ones the value is None.
+    is_chosen : callable
+        Whether this VM is one of those that read a shared table for all.
+    announce : callable
+        Tells the other VMs news that this one has read for them.
     """
 
     def __init__(
@@ -59,7 +83,14 @@
         ask_peer: AskPeer,
         random: Random,
         on_change: Callable[[tuple[TableRow, ...]], None],
+        is_chosen: Callable[[], bool] = lambda: True,
+        announce: Callable[[TableNotice], None] = lambda notice: None,
     ) -> None:
+        self._is_chosen = is_chosen
+        self._announce = announce
+        self._heard_at: Millis = -math.inf
+        self._is_reading = False
+        self._history = TableHistory()
         self._loop = loop
         self._settings = settings
         self._source = source
@@ -85,6 +116,9 @@
     def begin(self) -> None:
         """Start to follow the table."""
         self._read()
+        if self._settings.is_shared:
+            self._loop.every(SUPERVISE_MS, self._supervise)
+            self._loop.every(ANNOUNCE_MS, self._announce_version)
 
     def on_peer_version(self, address: str, version: int) -> None:
         """Compare the version that another VM has."""
@@ -99,16 +133,56 @@
         if now - self._behind_since >= PATIENCE_MS:
             self._catch_up(address, version)
 
-    def copy(self) -> TableNews:
-        """Return the whole table as it is known here."""
-        rows = tuple(TableRow(k, v) for k, v in self.value_by_key.items())
-        return TableNews(self.version, rows, is_whole=True)
+    def on_notice(self, address: str, notice: TableNotice) -> None:
+        """Take over what a VM has read for all."""
+        now = self._heard_at = self._loop.clock.now()
+        if notice.failed_ago < NEVER_FAILED_MS:
+            self.failed_at = max(self.failed_at or 0.0, now - notice.failed_ago)
+        if notice.version <= self.version:
+            return
+        if notice.rows and notice.after <= self.version:
+            self._apply(TableNews(notice.version, notice.rows, is_whole=False))
+        elif not self._is_reading:
+            self._catch_up(address, notice.version)
+
+    def copy(self, after: int) -> TableNews:
+        """Return what has changed since a version, or the whole table."""
+        changed = self._history.changed_after(after)
+        if changed is None:
+            rows = tuple(TableRow(k, v) for k, v in self.value_by_key.items())
+            return TableNews(self.version, rows, is_whole=True)
+        rows = tuple(TableRow(key, self.value_by_key.get(key)) for key in changed)
+        return TableNews(self.version, rows, is_whole=False)
+
+    def _supervise(self) -> None:
+        """Begin to read, or leave it to the VMs that read for all."""
+        now = self._loop.clock.now()
+        needs_read = needs_own_read(self._is_chosen(), self._heard_at, now)
+        if needs_read and not self._is_reading:
+            self._read()
+        elif self._is_reading and not needs_read and self.is_known:
+            self._is_reading = False
+            self.is_away = False
+            self._reading += 1
+            if self._timer is not None:
+                self._timer.cancel()
+
+    def _announce_version(self) -> None:
+        if self._is_reading and self._is_chosen() and not self.is_away:
+            self._announce(self._notice(self.version, ()))
+
+    def _notice(self, version: int, rows: tuple[TableRow, ...]) -> TableNotice:
+        now = self._loop.clock.now()
+        failed_at = self.failed_at
+        failed_ago = NEVER_FAILED_MS if failed_at is None else now - failed_at
+        return TableNotice(self.version, version, rows, failed_ago)
 
     def _catch_up(self, address: str, version: int) -> None:
         if self.version >= version or self._is_asking:
             return
         self._is_asking = True
-        self._ask_peer(address, self._settings.table, self._on_peer_copy)
+        table = self._settings.table
+        self._ask_peer(address, table, self.version, self._on_peer_copy)
 
     def _on_peer_copy(self, result: Result[TableNews, TableError]) -> None:
         self._is_asking = False
@@ -130,12 +204,13 @@
         )
         self._behind_since = None
         self._apply(news)
-        if not self.is_away:
+        if self._is_reading and not self.is_away:
             # The read that waits brought nothing: its connection may be silent.
             self._read()
 
     def _read(self) -> None:
         """Start a read; what an earlier one may still bring is left out."""
+        self._is_reading = True
         self._reading += 1
         number = self._reading
         if self._timer is not None:
@@ -167,9 +242,18 @@
                 self._read()
             case TableNews() as news:
                 self._is_history_lost = False
+                self._tell(news)
                 self._apply(news)
                 self._read_after(self._settings.spacing if news.rows else 0.0)
 
+    def _tell(self, news: TableNews) -> None:
+        """Tell the others what was read, or only its version where it is much."""
+        if not (self._settings.is_shared and news.rows and self._is_chosen()):
+            return
+        is_short = not news.is_whole and len(news.rows) <= ANNOUNCED_ROWS
+        rows = news.rows if is_short else ()
+        self._announce(self._notice(news.version, rows))
+
     def _on_error(self, error: TableError) -> None:
         self.failed_at = self._loop.clock.now()
         if not self.is_away:
@@ -198,6 +282,7 @@
                 self.value_by_key.pop(key, None)
             else:
                 self.value_by_key[key] = value
+        self._history.note(news, changed)
         self.version = news.version
         if changed:
             self._on_change(tuple(changed))
--- a/src/galenaferry/discovery/messages.py
+++ b/src/galenaferry/discovery/messages.py
@@ -1,12 +1,15 @@
 """News of a table in the platform's store."""
 
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Final, NamedTuple, Protocol
 
 from result import Result
 
 from ..clock import Millis
 
+NEVER_FAILED_MS: Final = 1e9
+"""Stands for a store that has not failed a VM."""
+
 
 class TableRow(NamedTuple):
     """One row; ``value`` is None where the row was removed."""
@@ -26,6 +29,20 @@
     is_whole: bool
 
 
+class TableNotice(NamedTuple):
+    """What a VM that reads a table for all tells the others.
+
+    ``rows`` are those that changed after version ``after`` up to ``version``; there
+    are none where they are too many, or where nothing changed. ``failed_ago`` tells
+    how long ago the store last failed that VM, in milliseconds.
+    """
+
+    after: int
+    version: int
+    rows: tuple[TableRow, ...]
+    failed_ago: Millis = NEVER_FAILED_MS
+
+
 class HistoryLost(NamedTuple):
     """The store no longer knows what has changed since the asked version."""
 
--- a/src/galenaferry/discovery/peer_copies.py
+++ b/src/galenaferry/discovery/peer_copies.py
@@ -2,7 +2,7 @@
 
 import base64
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 from urllib.parse import quote
 
@@ -20,17 +20,16 @@
 
 
 def encode_copy(news: TableNews) -> dict[str, Any]:
-    """Return a whole table as JSON data."""
+    """Return news of a table as JSON data."""
     rows = [
-        [row.key, base64.b64encode(row.value).decode()]
+        [row.key, None if row.value is None else base64.b64encode(row.value).decode()]
         for row in news.rows
-        if row.value is not None
     ]
-    return {"version": news.version, "rows": rows}
+    return {"version": news.version, "whole": news.is_whole, "rows": rows}
 
 
 def decode_copy(body: bytes) -> TableNews:
-    """Return the whole table in a body.
+    """Return the news in a body.
 
     Raises
     ------
@@ -40,9 +39,10 @@
     try:
         data = json.loads(body)
         rows = tuple(
-            TableRow(str(key), base64.b64decode(value)) for key, value in data["rows"]
+            TableRow(str(key), None if value is None else base64.b64decode(value))
+            for key, value in data["rows"]
         )
-        return TableNews(int(data["version"]), rows, is_whole=True)
+        return TableNews(int(data["version"]), rows, bool(data["whole"]))
     except (KeyError, TypeError) as error:
         raise ValueError(f"not a copy of a table: {error!r}") from None
 
@@ -51,12 +51,13 @@
     loop: Loop,
     address: str,
     table: str,
+    after: int,
     done: Callable[[Result[TableNews, TableError]], None],
     timeout: Millis = TIMEOUT_MS,
 ) -> None:
-    """Ask the VM at ``address`` (IP:PORT) for its copy of a table."""
+    """Ask the VM at ``address`` (IP:PORT) what changed in a table since a version."""
     host, _, port = address.rpartition(":")
-    target = PATH + quote(table, safe="")
+    target = f"{PATH}{quote(table, safe='')}?after={after}"
     request = FetchRequest((host, int(port)), "GET", target, timeout=timeout)
 
     def finish(result: FetchResult) -> None:
@@ -66,14 +67,17 @@
 
 
 def answer_peer(
-    copy_by_table: dict[str, Callable[[], TableNews]], request: JsonRequest
+    copy_by_table: Mapping[str, Callable[[int], TableNews]], request: JsonRequest
 ) -> JsonResponse:
     """Answer another VM that asks for a table."""
     table = request.path.removeprefix(PATH)
     copy = copy_by_table.get(table)
     if copy is None or not request.path.startswith(PATH):
         return JsonResponse(404, {"error": "no such table"})
-    return JsonResponse(200, encode_copy(copy()))
+    after = request.query.get("after", "0")
+    if not after.isdigit():
+        return JsonResponse(400, {"error": "after must be a whole number"})
+    return JsonResponse(200, encode_copy(copy(int(after))))
 
 
 def _interpret(result: FetchResult) -> Result[TableNews, TableError]:
--- a/src/galenaferry/discovery/tests/builders.py
+++ b/src/galenaferry/discovery/tests/builders.py
@@ -45,19 +45,23 @@
 class FollowerBench:
     """A follower on a fake clock."""
 
-    def __init__(self, spacing=0.0):
+    def __init__(self, spacing=0.0, is_shared=False):
         self.clock = FakeClock(1000.0)
         self.loop = Loop(self.clock)
         self.source = FakeSource()
         self.asked = []
         self.changes = []
+        self.notices = []
+        self.is_chosen = True
         self.follower = TableFollower(
             self.loop,
-            FollowerSettings("op", spacing),
+            FollowerSettings("op", spacing, is_shared),
             self.source,
-            lambda address, table, done: self.asked.append((address, done)),
+            lambda address, table, after, done: self.asked.append((address, done)),
             Random(1),
             self.changes.append,
+            lambda: self.is_chosen,
+            self.notices.append,
         )
         self.follower.begin()
 
--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -17,6 +17,7 @@
 from .claims.component import ClaimsComponent
 from .configuration.component import ConfigurationComponent
 from .configuration.impact import LiveFleet
+from .discovery.messages import TableNotice
 from .drain.component import DrainComponent
 from .findings import describe
 from .health.component import HealthComponent
@@ -146,6 +147,9 @@
     def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
         """Do nothing: here evidence goes through homes."""
 
+    def on_table_notice(self, sender: Member, notice: TableNotice) -> None:
+        """Do nothing: the VM list spreads by itself here."""
+
     @handler("configuration_changed", channel="*")
     def _on_configuration_changed(self) -> None:
         self._routes.use(self.configuration.store.configuration)
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -14,8 +14,9 @@
 from ..backends.ownership import Vm
 from ..clock import Millis
 from ..discovery.follower import FollowerSettings, TableFollower
-from ..discovery.messages import TableError, TableNews, TableRow
+from ..discovery.messages import TableError, TableNews, TableNotice, TableRow
 from ..discovery.peer_copies import answer_peer, ask_peer
+from ..discovery.readers import is_reader
 from ..discovery.registry import StoreAccess
 from ..drain.component import DrainComponent
 from ..health.messages import Outcomes, Report, Verdicts
@@ -102,19 +103,29 @@
             loop,
             PlacementSettings(settings.zone, settings.floor),
             random,
-            self._tell_outcomes,
+            self._tell_all,
         )
         self.routes = HostRoutes(int(settings.budget.ratio * 100.0), random)
-        self.configuration = self._follow(
-            adapter.tables.configuration,
-            CONFIGURATION_SPACING_MS,
+        self.configuration = TableFollower(
+            loop,
+            FollowerSettings(adapter.tables.configuration, CONFIGURATION_SPACING_MS),
+            adapter.store,
+            self._ask_peer,
+            random,
             ConfigurationTable(adapter, self.routes).on_change,
         )
         instances = InstancesTable(
             loop, adapter, self._store_access, self._on_instances
         )
-        self.instances = self._follow(
-            adapter.tables.instances, INSTANCES_SPACING_MS, instances.on_change
+        self.instances = TableFollower(
+            loop,
+            FollowerSettings(adapter.tables.instances, INSTANCES_SPACING_MS, True),
+            adapter.store,
+            self._ask_peer,
+            random,
+            instances.on_change,
+            self._is_chosen_reader,
+            self._tell_all,
         )
         self._heartbeats = Heartbeats(
             loop, self.table, PACE, self.peers.send, self._compose
@@ -238,18 +249,16 @@
     def _make_budgets(self) -> FleetBudgets:
         return FleetBudgets(self._settings.budget, self.loop.clock, self._fleet_size)
 
-    def _follow(self, table: str, spacing: Millis, on_change: Any) -> TableFollower:
-        return TableFollower(
-            self.loop,
-            FollowerSettings(table, spacing),
-            self._adapter.store,
-            self._ask_peer,
-            self._random,
-            on_change,
-        )
+    def on_table_notice(self, sender: Member, notice: TableNotice) -> None:
+        """Take news of the instances that another VM has read."""
+        self.instances.on_notice(sender.address, notice)
+
+    def _is_chosen_reader(self) -> bool:
+        live = self.table.live_in_region(self.loop.clock.now())
+        return is_reader(self.table.me, live, self._adapter.tables.instances)
 
-    def _ask_peer(self, address: str, table: str, done: Any) -> None:
-        ask_peer(self.loop, address, table, done)
+    def _ask_peer(self, address: str, table: str, after: int, done: Any) -> None:
+        ask_peer(self.loop, address, table, after, done)
 
     def _store_access(self) -> StoreAccess:
         return StoreAccess(self.instances.is_away, self.instances.failed_at)
@@ -257,14 +266,15 @@
     def _on_instances(self, instances: tuple[Instance, ...]) -> None:
         self.placement.replace(instances)
 
-    def _tell_outcomes(self, outcomes: Outcomes) -> None:
+    def _tell_all(self, message: Outcomes | TableNotice) -> None:
         for member in self.table.live_in_region(self.loop.clock.now()):
             if member.address != self.table.me.address:
-                self.peers.send(member.address, outcomes)
+                self.peers.send(member.address, message)
 
     def _compose(self, sample: tuple[Member, ...]) -> Heartbeat:
         version = self.configuration.version
-        self.table.beat(version, self.configuration.is_away)
+        is_away = self.configuration.is_away or self.instances.is_away
+        self.table.beat(version, is_away)
         return Heartbeat(version, "", Freshness(0), self.instances.version, sample)
 
     def _member(self) -> Member:
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -8,6 +8,7 @@
 import capnp
 from result import Err, Ok, Result
 
+from ..discovery.messages import TableNotice, TableRow
 from ..health.beliefs import Outcome
 from ..health.messages import (
     Counts,
@@ -27,7 +28,17 @@
 LARGEST_AGE_MS: Final = 0xFFFF_FFFF
 LARGEST_COUNT: Final = 0xFFFF_FFFF
 
-Message = Heartbeat | Push | Pull | PagePull | Page | Report | Verdicts | Outcomes
+Message = (
+    Heartbeat
+    | Push
+    | Pull
+    | PagePull
+    | Page
+    | Report
+    | Verdicts
+    | Outcomes
+    | TableNotice
+)
 
 
 class Datagram(NamedTuple):
@@ -124,6 +135,8 @@
             _fill_counts(body.init("report", len(counts)), counts)
         case Verdicts(verdicts):
             _fill_verdicts(body.init("verdicts", len(verdicts)), verdicts)
+        case TableNotice():
+            _fill_notice(body.init("tableNotice"), message)
         case Outcomes(shown):
             target = body.init("outcomes", len(shown))
             for number, row in enumerate(shown):
@@ -131,6 +144,29 @@
                 target[number].outcome = int(row.outcome)
 
 
+def _fill_notice(target: Any, notice: TableNotice) -> None:
+    target.after = notice.after
+    target.version = notice.version
+    target.failedAgoMs = min(int(notice.failed_ago), LARGEST_AGE_MS)
+    rows = target.init("rows", len(notice.rows))
+    for number, row in enumerate(notice.rows):
+        rows[number].key = row.key
+        rows[number].value = row.value or b""
+        rows[number].isRemoved = row.value is None
+
+
+def _read_notice(source: Any) -> TableNotice:
+    return TableNotice(
+        after=source.after,
+        version=source.version,
+        failed_ago=float(source.failedAgoMs),
+        rows=tuple(
+            TableRow(row.key, None if row.isRemoved else bytes(row.value))
+            for row in source.rows
+        ),
+    )
+
+
 def _fill_page(target: Any, page: Page) -> None:
     target.log = int(page.log)
     target.version = page.version
@@ -195,6 +231,8 @@
                     for row in body.verdicts
                 )
             )
+        case "tableNotice":
+            return _read_notice(body.tableNotice)
         case "outcomes":
             rows = (Shown(row.key, Outcome(row.outcome)) for row in body.outcomes)
             return Outcomes(tuple(rows))
--- a/src/galenaferry/peers/component.py
+++ b/src/galenaferry/peers/component.py
@@ -6,6 +6,7 @@
 from circuits import BaseComponent
 from result import Err
 
+from ..discovery.messages import TableNotice
 from ..health.messages import Outcomes, Report, Verdicts
 from ..logs import logger
 from ..membership.messages import Heartbeat, Member
@@ -35,6 +36,9 @@
     def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
         """Take outcomes of single attempts."""
 
+    def on_table_notice(self, sender: Member, notice: TableNotice) -> None:
+        """Take news of a table that another VM has read."""
+
 
 class PeersComponent(BaseComponent):
     """Datagrams to and from the other VMs of the fleet.
@@ -105,6 +109,8 @@
                 self._receivers.on_report(sender, message)
             case Verdicts():
                 self._receivers.on_verdicts(sender, message)
+            case TableNotice():
+                self._receivers.on_table_notice(sender, message)
             case Outcomes():
                 self._receivers.on_outcomes(sender, message)
 
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -64,6 +64,19 @@
   outcome @1 :UInt8;
 }
 
+struct TableRow {
+  key @0 :Text;
+  value @1 :Data;
+  isRemoved @2 :Bool;
+}
+
+struct TableNotice {
+  after @0 :UInt64;
+  version @1 :UInt64;
+  rows @2 :List(TableRow);
+  failedAgoMs @3 :UInt32;
+}
+
 struct Datagram {
   sender @0 :Member;
   body :union {
@@ -75,5 +88,6 @@
     report @6 :List(Counts);
     verdicts @7 :List(Verdict);
     outcomes @8 :List(Outcome);
+    tableNotice @9 :TableNotice;
   }
 }
--- a/src/galenaferry/requests/story.py
+++ b/src/galenaferry/requests/story.py
@@ -1,11 +1,20 @@
 """What one request went through, for the one log line that it leaves."""
 
-from typing import Any
+from typing import Any, Final
 
-from ..attempts.messages import BrokenUnsent, Ending, NotConnected, Ran
+from ..attempts.messages import (
+    BrokenUnsent,
+    Ending,
+    Misdirected,
+    NotConnected,
+    Ran,
+)
 from ..backends.messages import Instance
 from ..clock import Millis
 
+NEVER_SENT: Final = (NotConnected, BrokenUnsent, Misdirected)
+"""Ends of attempts that reached no instance, or only one that has ended."""
+
 
 class Story:
     """Attempts and the end of one request.
@@ -58,7 +67,7 @@
 
     def attempt(self, instance: Instance, ending: Ending, took: Millis) -> None:
         """Add the end of an attempt that took so many milliseconds."""
-        self.sent_count += not isinstance(ending, NotConnected | BrokenUnsent)
+        self.sent_count += not isinstance(ending, NEVER_SENT)
         self._attempts.append((instance.name, repr(ending), int(took)))
 
     def end(self, status: int, reason: str, ran: Ran) -> None:
