Take no evidence from requests that had less time than the route's target

Ruled out: the instances (the same ones answered other routes well).

Change: a 504 or a time-out after less than the route's target latency is no evidence.

--- a/src/galenaferry/attempts/outcomes.py
+++ b/src/galenaferry/attempts/outcomes.py
@@ -81,6 +81,15 @@
     return Answered(status)
 
 
+def is_out_of_time(ending: Ending) -> bool:
+    """Whether an attempt ended because the time that it was given was over."""
+    match ending:
+        case TimedOut() | ServerFault(status=504):
+            return True
+        case _:
+            return False
+
+
 def worse(first: Ran, second: Ran) -> Ran:
     """Return what is known of a request after two attempts."""
     return first if SEVERITY[first] >= SEVERITY[second] else second
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -13,7 +13,7 @@
     TimedOut,
     Verdict,
 )
-from ..attempts.outcomes import classify_status, judge, worse
+from ..attempts.outcomes import classify_status, is_out_of_time, judge, worse
 from ..backends.choice import Busy, Chosen, Nothing
 from ..backends.messages import Ask, Instance, Shares
 from ..claims.component import ClaimsComponent
@@ -450,7 +450,11 @@
         if verdict.evidence is Evidence.SHED:
             self._tried -= {instance.address}
         started = self._attempt.started if self._attempt is not None else 0.0
-        self._story.attempt(instance, ending, self._context.loop.clock.now() - started)
+        took = self._context.loop.clock.now() - started
+        self._story.attempt(instance, ending, took)
+        if is_out_of_time(ending) and took < route.target_latency:
+            # The instance had less time than the operator gives for an answer.
+            verdict = verdict._replace(evidence=Evidence.NONE)
         target = self.head.target
         sent = SentAttempt(route, instance, self._shares, target, started)
         settle(self._context, sent, self._admission, verdict)
--- a/src/galenaferry/requests/tests/test_overdue.py
+++ b/src/galenaferry/requests/tests/test_overdue.py
@@ -1,8 +1,12 @@
 """Requests whose answer takes longer than usual."""
 
+import pytest
+
+from galenaferry.attempts.messages import Evidence
 from galenaferry.requests.interface import RequestSettings
 from galenaferry.requests.tests.builders import Bench, faulty, healthy
 
+TIGHT = "[defaults]\ntotal_timeout_ms = 50\nmax_attempts = 1\n"
 COUNTING = RequestSettings(do_sheds_count=True)
 
 
@@ -61,3 +65,24 @@
     made, patience = bench([faulty(slow_factor=100.0)], is_doubting=False)
     assert made.caller().get("/bookings/x").answers()[0][0] == 200
     assert len(patience.overdue) == 1
+
+
+class TargetedRoutes:
+    """Routes with a target latency."""
+
+    def __init__(self, routes, target):
+        self._routes = routes
+        self._target = target
+
+    def route(self, head):
+        return self._routes.route(head)._replace(target_latency=self._target)
+
+
+@pytest.mark.parametrize(
+    ("target", "evidence"), [(2000.0, Evidence.NONE), (20.0, Evidence.FAILURE)]
+)
+def test_a_request_with_little_time_says_nothing_of_its_instance(target, evidence):
+    made = Bench(TIGHT, modes=[faulty(silent_part=1.0)])
+    made.context.routes = TargetedRoutes(made.context.routes, target)
+    assert made.caller().post("/bookings/x").answers()[0][0] == 504
+    assert [seen for _, seen in made.observer.evidence] == [evidence]
