Log when a VM comes to suspect an instance, and leave strangers out of explain

Change: requests have a channel of their own; a line where an outcome moves an instance across the limit of trust, with the outcome, who told it and the probability.

--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -61,6 +61,7 @@
 SHORTEST_RETRY_AFTER_MS: Final = 150.0
 
 log = logger("node")
+request_log = logger("requests")
 
 
 class Node(Component):
@@ -227,7 +228,7 @@
 
     def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
         """Take over what another VM saw of instances."""
-        self.placement.on_outcomes(outcomes)
+        self.placement.on_outcomes(sender.address, outcomes)
 
     def on_spread(self, sender: Member, message: SpreadMessage) -> None:
         """Do nothing: the store orders the configuration here."""
@@ -355,7 +356,7 @@
         now = self.loop.clock.now()
         self._metrics.on_story(story, now)
         fields = story.fields(now)
-        log.info("request", is_minor=story.is_plain, **fields)
+        request_log.info("request", is_minor=story.is_plain, **fields)
 
     def _on_drain_announced(self) -> None:
         self.context.is_stopping = True
--- a/src/galenaferry/operator/explain.py
+++ b/src/galenaferry/operator/explain.py
@@ -58,8 +58,10 @@
         line
         for line in ordered
         if line.record.get("channel") in BELIEF_CHANNELS
+        and "request" not in line.record
         and _is_near(line, own[0])
-        and (line.record.get("instance") in instances or _vm(line) in vms)
+        and _vm(line) in vms
+        and line.record.get("instance", "") in instances | {""}
     ]
     companions = [
         str(line.record["request"])
--- a/src/galenaferry/operator/tests/test_explain.py
+++ b/src/galenaferry/operator/tests/test_explain.py
@@ -60,6 +60,29 @@
         instance="i-1@5",
         leaving=False,
     ),
+    line(
+        "vm-1",
+        20.1,
+        channel="placing",
+        message="instance suspected",
+        instance="i-1@5",
+        told_by="this VM",
+    ),
+    line(
+        "vm-1",
+        20.2,
+        channel="placing",
+        message="instance suspected",
+        instance="i-9@5",
+        told_by="this VM",
+    ),
+    line(
+        "vm-1",
+        19.5,
+        channel="configuration",
+        message="configuration in force",
+        version=7,
+    ),
     line("vm-2", 19.0, channel="discovery", message="the store does not answer"),
 ]
 
@@ -93,6 +116,14 @@
     assert part in story(name)
 
 
+def test_what_its_vm_believed_of_its_instances_is_told():
+    text = story("failed")
+    assert "instance suspected instance=i-1@5" in text
+    assert "configuration in force version=7" in text
+    assert "i-9@5" not in text
+    assert "request fine" not in text
+
+
 def test_what_another_vm_believed_is_left_out():
     assert "the store does not answer" not in story("failed")
 
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -16,8 +16,9 @@
 from ..configuration.policy import Policy
 from ..health.beliefs import Belief, Beliefs, Outcome, SicknessModel
 from ..health.messages import Outcomes, Shown, instance_key
+from ..logs import logger
 from ..network.loop import Loop
-from .decisions import Option, Wish, choose_option
+from .decisions import TRIAL_BELOW, Option, Wish, choose_option
 from .latency import UsualLatency
 from .reach import Reach
 
@@ -51,6 +52,8 @@
     Evidence.SHED: Outcome.SHED,
 }
 
+log = logger("placing")
+
 
 class PlacementSettings(NamedTuple):
     """Settings of placing; ``floor`` is the part of sound instances to use."""
@@ -207,17 +210,32 @@
             return
         belief = self._beliefs.of(instance.name, now)
         is_news = outcome is not Outcome.GOOD or belief.sick(now) > TOLD_ABOVE
-        belief.add(outcome, now)
+        self._add(instance.name, outcome, "this VM", now)
         if is_news:
             self._tell_soon(Shown(instance_key(instance.name), outcome))
 
-    def on_outcomes(self, outcomes: Outcomes) -> None:
+    def on_outcomes(self, sender: str, outcomes: Outcomes) -> None:
         """Take over what another VM saw."""
         now = self._loop.clock.now()
         for shown in outcomes.shown:
             name = self._name_by_key.get(shown.key)
             if name is not None:
-                self._beliefs.of(name, now).add(shown.outcome, now)
+                self._add(name, shown.outcome, sender, now)
+
+    def _add(self, name: str, outcome: Outcome, source: str, now: Millis) -> None:
+        """Take an outcome into account and log where it changes the belief."""
+        belief = self._beliefs.of(name, now)
+        was_suspected = belief.sick(now) >= TRIAL_BELOW
+        belief.add(outcome, now)
+        sick = belief.sick(now)
+        if (sick >= TRIAL_BELOW) != was_suspected:
+            log.info(
+                "instance cleared" if was_suspected else "instance suspected",
+                instance=name,
+                outcome=outcome.name.lower(),
+                told_by=source,
+                sick=round(sick, 3),
+            )
 
     def overdue_after(self, route: str, target: Millis) -> Millis:
         """Return the time beyond which an answer is overdue, 0 if not known.
@@ -229,7 +247,7 @@
     def on_overdue(self, instance: Instance) -> None:
         """Take an overdue answer for a sign that the instance is sick."""
         now = self._loop.clock.now()
-        self._belief(instance, now).add(Outcome.SLOW, now)
+        self._add(instance.name, Outcome.SLOW, "this VM", now)
         self._tell_soon(Shown(instance_key(instance.name), Outcome.SLOW))
 
     def is_doubted(self, instance: Instance, waited: float) -> bool:
