--- /dev/null
+++ b/src/galenaferry/platform/tests/test_store.py
@@ -0,0 +1,94 @@
+"""Calls to the store, through each way in which it can fail."""
+
+import pytest
+
+from galenaferry.clock import FakeClock
+from galenaferry.discovery.messages import HistoryLost, TableNews, TableRow
+from galenaferry.network.loop import Loop
+from galenaferry.platform.store import StoreClient
+from galenaferry.platform.tests.store_stand_in import StoreStandIn
+
+QUIET_POLLS = 5
+
+
+class Bench:
+    def __init__(self):
+        self.clock = FakeClock(1000.0)
+        self.loop = Loop(self.clock)
+        self.store = StoreStandIn(self.loop)
+        self.client = StoreClient(self.loop, self.store.address)
+
+    def call(self, start):
+        """Run ``start(done)`` until it is done and return what it gave."""
+        results = []
+        start(results.append)
+        quiet = 0
+        while not results:
+            quiet = 0 if self.loop.poll(0.0) else quiet + 1
+            if quiet > QUIET_POLLS:
+                self.clock.advance(10.0)
+        assert len(results) == 1
+        return results[0]
+
+    def read_all(self):
+        return self.call(lambda done: self.client.read_all("servers", done))
+
+    def read_changes(self, after):
+        return self.call(
+            lambda done: self.client.read_changes("servers", after, 5000.0, done)
+        )
+
+
+def test_all_rows_come_over_several_pages():
+    bench = Bench()
+    for number in range(8):
+        bench.store.put("servers", f"i-{number}", b"%d" % number)
+    bench.store.put("other", "i-9", b"x")
+    news = bench.read_all().unwrap()
+    assert news.rows == tuple(TableRow(f"i-{n}", b"%d" % n) for n in range(8))
+    assert (news.is_whole, news.version) == (True, bench.store.version)
+    assert bench.store.calls == ["GET /rows-get"] * 3
+
+
+def test_changes_and_removals_come_in_order():
+    bench = Bench()
+    bench.store.put("servers", "i-1", b"a")
+    bench.store.put("servers", "i-2", b"b")
+    before = bench.store.version
+    bench.store.put("servers", "i-2", b"c")
+    bench.store.remove("servers", "i-1")
+    rows = (TableRow("i-2", b"c"), TableRow("i-1", None))
+    assert bench.read_changes(before).unwrap() == TableNews(before + 2, rows, False)
+
+
+def test_dropped_history_is_told_apart_from_a_failure():
+    bench = Bench()
+    bench.store.put("servers", "i-1", b"a")
+    bench.store.drop_history()
+    assert bench.read_changes(0).unwrap() == HistoryLost()
+
+
+@pytest.mark.parametrize("fault", ["refuse", "silent", "lose", "garble"])
+def test_each_fault_is_an_error_with_a_reason(fault):
+    bench = Bench()
+    bench.store.fault = fault
+    assert bench.read_all().unwrap_err().text
+    assert bench.read_changes(0).unwrap_err().text
+    error = bench.call(lambda done: bench.client.put("vms", "vm-1", b"x", done))
+    # The status alone acknowledges a write; its body is not needed.
+    assert bool(error) is (fault != "garble")
+
+
+def test_a_write_whose_answer_is_lost_was_done_all_the_same():
+    bench = Bench()
+    bench.store.fault = "lose"
+    assert bench.call(lambda done: bench.client.put("vms", "vm-1", b"x", done))
+    assert bench.store.rows["vms", "vm-1"] == b"x"
+
+
+def test_a_store_that_has_moved_is_called_at_its_new_address():
+    bench = Bench()
+    other = StoreStandIn(bench.loop)
+    other.put("servers", "i-1", b"a")
+    bench.client.move(other.address)
+    assert len(bench.read_all().unwrap().rows) == 1
