--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -52,8 +52,8 @@
 instance that leaves must get nothing new."""
 BALANCER_NOTICES_MS: Final = 3_000.0
 """Two questions of the balancer, a second apart, and its time-out."""
-STOP_MARGIN_MS: Final = 400.0
-"""Time left for the end of the process within the grace."""
+STOP_MARGIN_MS: Final = 700.0
+"""Time left within the grace for the end of the process, also on a slow machine."""
 HELD_BYTES: Final = 1 << 20
 REGISTER_AFTER_MS: Final = 1_000.0
 YOUNG_COLLECTION_THRESHOLD: Final = 10_000
