--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -30,8 +30,9 @@
 WAIT_MS: Final = 20_000.0
 """How long the store holds a read without news; under its limit of 30 s."""
 FIRST_RETRY_MS: Final = 100.0
-LONGEST_RETRY_MS: Final = 1_000.0
-"""A store that is back must be noticed within a second or two."""
+LONGEST_RETRY_MS: Final = 2_000.0
+"""Refused calls count as well. Of many VMs that each ask every two seconds one
+notices at once that the store is back, and its heartbeats tell the others."""
 SUPERVISE_MS: Final = 250.0
 ANNOUNCED_ROWS: Final = 10
 """Rows that are told at once; at some 250 bytes each they fill two packets."""
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -55,6 +55,8 @@
 STOP_MARGIN_MS: Final = 700.0
 """Time left within the grace for the end of the process, also on a slow machine."""
 HELD_BYTES: Final = 1 << 20
+ENOUGH_MEMBERS: Final = 4
+"""Live VMs from which heartbeats lead to all others within seconds."""
 REGISTER_AFTER_MS: Final = 1_000.0
 YOUNG_COLLECTION_THRESHOLD: Final = 10_000
 LONGEST_RETRY_AFTER_MS: Final = 600.0
@@ -304,7 +306,13 @@
             log.warning("this VM could not be registered", error=error)
             self.loop.after(REGISTER_AFTER_MS, self._register_vm)
             return
-        self.loop.after(REGISTER_AFTER_MS, self._read_vms)
+        self.loop.after(REGISTER_AFTER_MS, self._read_vms_if_alone)
+
+    def _read_vms_if_alone(self) -> None:
+        """Read where the others are, unless the seeds have led to enough of them."""
+        live = self.table.live(self.loop.clock.now())
+        if len(live) - 1 < ENOUGH_MEMBERS:
+            self._read_vms()
 
     def _read_vms(self) -> None:
         self._adapter.store.read_all(self._adapter.tables.vms, self._on_vms)
