--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	$(PYTHON) benches/spreading.py
 	$(PYTHON) benches/requests.py
 	$(PYTHON) benches/detection.py
+	$(PYTHON) benches/placing.py
 
 capacity: venv
 	$(PYTHON) benches/capacity.py
