A randomized soak of real processes under faults from outside

Change: soak/ starts node processes from a seed, plays a store, instances, loopback proxies and callers on one loop, injects overlapping faults (SIGTERM, SIGKILL, SIGSTOP, store refusing, silent, losing answers or history; links delayed, reset, silenced, cut one way; instances failing, leaving, replaced; configurations) and checks execution once, truth of refusals, answers and denials. Clocks that jump are not played. No product code changed.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: venv test demo demo-check bench capacity format
+.PHONY: venv test demo demo-check soak soak-check bench capacity format
 
 VENV := .venv
 PYTHON := $(VENV)/bin/python
@@ -11,14 +11,14 @@
 	touch $@
 
 test: venv
-	$(VENV)/bin/ruff format --check src benches
-	$(VENV)/bin/ruff check src benches
+	$(VENV)/bin/ruff format --check src benches soak
+	$(VENV)/bin/ruff check src benches soak
 	$(VENV)/bin/mypy
 	$(PYTHON) -m pytest
 
 format: venv
-	$(VENV)/bin/ruff format src benches
-	$(VENV)/bin/ruff check --fix src benches
+	$(VENV)/bin/ruff format src benches soak
+	$(VENV)/bin/ruff check --fix src benches soak
 
 demo: venv
 	$(PYTHON) -m galenaferry.demo
@@ -26,6 +26,12 @@
 demo-check: venv
 	$(PYTHON) -m galenaferry.demo --check
 
+soak-check: venv
+	$(PYTHON) -m soak --seed 1 --seeds 2 --seconds 6 --vms 3
+
+soak: venv
+	$(PYTHON) -m soak --seed 1 --seeds 50 --seconds 15 --vms 4
+
 bench: venv
 	$(PYTHON) benches/latency.py
 	$(PYTHON) benches/parsing.py
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults from outside."""
--- /dev/null
+++ b/soak/exchange.py
@@ -0,0 +1,131 @@
+"""HTTP connections of the harness: accepting and making them on its loop."""
+
+from collections.abc import Callable
+
+from galenaferry.framing.messages import FramingError, RequestHead, ResponseHead
+from galenaferry.framing.requests import RequestLimits, RequestReader
+from galenaferry.framing.responses import ResponseReader
+from galenaferry.network.listener import Listener
+from galenaferry.network.loop import Loop
+from galenaferry.network.stream import Stream, connect
+
+LIMITS = RequestLimits(65_536, 1 << 20)
+
+
+class Incoming:
+    """One accepted connection that hands each whole request to a function."""
+
+    def __init__(self, loop: Loop, sock, handle: Callable[["Incoming"], None]) -> None:
+        self.head: RequestHead | None = None
+        self.body = b""
+        self.is_gone = False
+        self._handle = handle
+        self._reader = RequestReader(self, LIMITS)
+        self.stream = Stream(loop, sock, self, is_connecting=False)
+
+    def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Send a response."""
+        lines = [f"HTTP/1.1 {status} x", f"content-length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        self.stream.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    def close(self) -> None:
+        """Close at once."""
+        self.is_gone = True
+        self.stream.close()
+
+    def on_connected(self) -> None:
+        """Do nothing: the connection is there."""
+
+    def on_data(self, data: bytes) -> None:
+        """Parse bytes of a request."""
+        try:
+            self._reader.feed(data)
+        except FramingError:
+            self.close()
+
+    def on_drained(self) -> None:
+        """Do nothing: answers are short."""
+
+    def on_ended(self, reason: str) -> None:
+        """Close with the other end."""
+        self.close()
+
+    def on_head(self, head: RequestHead) -> None:
+        """Take the head of a request."""
+        self.head, self.body = head, b""
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of its body."""
+        self.body += data
+
+    def on_complete(self) -> None:
+        """Hand the request over."""
+        self._handle(self)
+
+
+def serve(loop: Loop, address: tuple[str, int], handle) -> Listener:
+    """Hand every request at an address to ``handle``."""
+    return Listener(loop, address, lambda sock: Incoming(loop, sock, handle))
+
+
+class Outgoing:
+    """One connection of a caller, kept until the other end closes it."""
+
+    def __init__(self, loop: Loop, address: tuple[str, int], on_end) -> None:
+        self._on_end = on_end
+        self._reader: ResponseReader | None = None
+        self.head: ResponseHead | None = None
+        self.body = b""
+        self.is_open = True
+        self.is_busy = False
+        self.address = address
+        self.stream = connect(loop, address, self)
+
+    def send(self, data: bytes) -> None:
+        """Send one request; the end of its answer is told once."""
+        self._reader = ResponseReader(self, False)
+        self.head, self.body, self.is_busy = None, b"", True
+        self.stream.write(data)
+
+    def on_connected(self) -> None:
+        """Do nothing: the request is queued."""
+
+    def on_data(self, data: bytes) -> None:
+        """Parse bytes of the answer."""
+        if self._reader is None or not self.is_busy:
+            self._end("bytes that nobody asked for")
+            return
+        try:
+            self._reader.feed(data)
+        except FramingError as error:
+            self._end(error.text)
+            return
+        if self._reader.has_excess:
+            self._end("bytes that nobody asked for")
+
+    def on_drained(self) -> None:
+        """Do nothing."""
+
+    def on_ended(self, reason: str) -> None:
+        """Tell that the connection ended."""
+        self._end(reason or "closed")
+
+    def on_response_head(self, head: ResponseHead) -> None:
+        """Take the head."""
+        self.head = head
+
+    def on_response_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self.body += data
+
+    def on_response_complete(self) -> None:
+        """Tell the whole answer."""
+        self.is_busy = False
+        self._on_end(self, "")
+
+    def _end(self, reason: str) -> None:
+        was_busy, self.is_busy, self.is_open = self.is_busy, False, False
+        self.stream.close()
+        if was_busy or reason.startswith("bytes"):
+            self._on_end(self, reason)
--- /dev/null
+++ b/soak/instances.py
@@ -0,0 +1,105 @@
+"""Backend server instances of the soak, which record all that they run."""
+
+from collections import Counter, defaultdict
+from random import Random
+
+from galenaferry.network.loop import Loop
+
+from .exchange import Incoming, serve
+
+WORK_MS = 30.0
+MODES = ("well", "errors", "sheds", "hangs", "resets", "loses", "extra", "cuts")
+
+
+class Ledger:
+    """What ran where; shared by all instances."""
+
+    def __init__(self) -> None:
+        self.runs_by_request: Counter[str] = Counter()
+        self.services_by_request: defaultdict[str, set[str]] = defaultdict(set)
+        self.findings: list[str] = []
+
+
+class Instance:
+    """One instance; in a mode other than ``well`` it fails half of its requests.
+
+    ``addresses`` are the one that it tells, where a proxy listens, and its own.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        name: str,
+        service: str,
+        addresses: tuple[tuple[str, int], tuple[str, int]],
+        ledger: Ledger,
+        random: Random,
+    ) -> None:
+        self._loop = loop
+        self._ledger = ledger
+        self._random = random
+        self.name = name
+        self.service = service
+        self.address, behind = addresses
+        self.mode = "well"
+        self._listener = serve(loop, behind, self._on_request)
+
+    def entry(self, state: str) -> dict[str, object]:
+        """Return the entry that the instance writes of itself."""
+        return {
+            "address": f"{self.address[0]}:{self.address[1]}",
+            "born": 1,
+            "info": {"service": self.service, "version": "v1", "zone": "a", "slots": 6},
+            "status": {"state": state, "sequence": 1, "coldRemainingMs": 0},
+        }
+
+    def close(self) -> None:
+        """Take no further connections."""
+        self._listener.close()
+
+    def _on_request(self, incoming: Incoming) -> None:
+        head = incoming.head
+        assert head is not None
+        request = (head.header(b"galenaferry-request-id") or b"").decode()
+        if head.header(b"galenaferry-expected-instance") != self.name.encode():
+            incoming.respond(421, {"galenaferry-instance-id": self.name}, b"")
+            return
+        mode = self.mode if self._random.random() < 0.5 else "well"
+        if mode == "sheds":
+            incoming.respond(503, {"galenaferry-not-executed": "1"}, b"")
+            return
+        self._ledger.runs_by_request[request] += 1
+        self._ledger.services_by_request[request].add(self.service)
+        self._loop.after(WORK_MS, lambda: self._answer(incoming, request, mode))
+
+    def _answer(self, incoming: Incoming, request: str, mode: str) -> None:
+        if incoming.is_gone:
+            return
+        body = body_of(request)
+        headers = {
+            "galenaferry-request-id": request,
+            "galenaferry-response-signature": f"s-{request}",
+        }
+        match mode:
+            case "hangs":
+                return
+            case "resets" | "loses":
+                incoming.close()
+            case "errors":
+                incoming.respond(500, headers, b"failed")
+            case "cuts":
+                text = f"HTTP/1.1 200 x\r\ncontent-length: {len(body) + 9}\r\n"
+                text += "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+                incoming.stream.write(text.encode() + b"\r\n" + body)
+                self._loop.after(1.0, incoming.close)
+            case "extra":
+                incoming.respond(200, headers, body)
+                late = WORK_MS * 2.0 * self._random.random()
+                self._loop.after(late, lambda: incoming.respond(200, headers, body))
+            case _:
+                incoming.respond(200, headers, body)
+
+
+def body_of(request: str) -> bytes:
+    """Return the one right body of a request's answer."""
+    return f"answer to {request} ".encode() * 20
