Tell other VMs the version of the newest change, not of the store

Cause: the store has one version for all tables, so a table's copy gets newer versions without a change. VMs compared them, asked each other for copies that changed nothing, and read the store again after each. They now tell the version of the newest change, and a copy that brought none causes no read. Tests: discovery/tests/test_follower.py, test_shared.py (three failed before).

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -105,6 +105,9 @@
         self._behind_since: Millis | None = None
         self._timer: Timer | None = None
         self.version = 0
+        # The store's version grows with every change of any table: to the others
+        # only a version that changed this table is worth asking for.
+        self.news_version = 0
         self.value_by_key: dict[str, bytes] = {}
         self.failed_at: Millis | None = None
         self.is_away = False
@@ -170,13 +173,13 @@
 
     def _announce_version(self) -> None:
         if self._is_reading and self._is_chosen() and not self.is_away:
-            self._announce(self._notice(self.version, ()))
+            self._announce(self._notice(self.news_version, ()))
 
     def _notice(self, version: int, rows: tuple[TableRow, ...]) -> TableNotice:
         now = self._loop.clock.now()
         failed_at = self.failed_at
         failed_ago = NEVER_FAILED_MS if failed_at is None else now - failed_at
-        return TableNotice(self.version, version, rows, failed_ago)
+        return TableNotice(self.news_version, version, rows, failed_ago)
 
     def _catch_up(self, address: str, version: int) -> None:
         if self.version >= version or self._is_asking:
@@ -204,8 +207,8 @@
             had=self.version,
         )
         self._behind_since = None
-        self._apply(news)
-        if self._is_reading and not self.is_away:
+        has_changed = self._apply(news)
+        if has_changed and self._is_reading and not self.is_away:
             # The read that waits brought nothing: its connection may be silent.
             self._read()
 
@@ -274,9 +277,11 @@
         else:
             self._timer = self._loop.after(wait, self._read)
 
-    def _apply(self, news: TableNews) -> None:
+    def _apply(self, news: TableNews) -> bool:
+        """Take over news; return whether they change anything."""
         if news.version < self.version:
-            return
+            return False
+        is_first = not self.is_known
         changed = _changed_rows(self.value_by_key, news)
         for key, value in changed:
             if value is None:
@@ -285,8 +290,11 @@
                 self.value_by_key[key] = value
         self._history.note(news, changed)
         self.version = news.version
+        if changed or is_first:
+            self.news_version = news.version
         if changed:
             self._on_change(tuple(changed))
+        return bool(changed)
 
 
 def _changed_rows(value_by_key: dict[str, bytes], news: TableNews) -> list[TableRow]:
--- a/src/galenaferry/discovery/tests/test_follower.py
+++ b/src/galenaferry/discovery/tests/test_follower.py
@@ -113,3 +113,22 @@
     for bench in fleet:
         bench.run_for(300.0)
     assert any(len(b.source.calls) > count for b, count in zip(fleet, before))
+
+
+def test_the_version_told_is_that_of_the_newest_change():
+    bench = started()
+    bench.source.answer(news(30))
+    bench.run_for(5.0)
+    assert bench.follower.version == 30
+    assert bench.follower.news_version == 10
+
+
+def test_a_copy_without_a_change_costs_no_call_to_the_store():
+    bench = started()
+    calls = len(bench.source.calls)
+    bench.follower.on_peer_version("10.0.0.2:7000", 15)
+    bench.run_for(300.0)
+    bench.asked[0][1](Ok(news(15)))
+    bench.run_for(1_000.0)
+    assert bench.follower.version == 15
+    assert len(bench.source.calls) == calls
--- a/src/galenaferry/discovery/tests/test_shared.py
+++ b/src/galenaferry/discovery/tests/test_shared.py
@@ -108,6 +108,21 @@
     assert [n.version for n in bench.notices[2:]] == [12, 12]
 
 
+def test_what_follows_reads_without_news_fits_what_the_others_know():
+    reader, other = FollowerBench(is_shared=True), listener()
+    reader.source.answer(news(10, True, config=b"one"))
+    reader.run_for(5.0)
+    reader.source.answer(news(30))
+    reader.run_for(5.0)
+    reader.source.answer(news(32, config=b"two"))
+    reader.run_for(1_100.0)
+    for notice in reader.notices:
+        other.follower.on_notice("10.0.0.1:7000", notice)
+    assert other.asked == []
+    assert other.changes[-1] == TWO
+    assert other.follower.version == 32
+
+
 def test_a_reader_that_the_store_turns_away_is_silent():
     bench = FollowerBench(is_shared=True)
     bench.source.answer(news(10, True, config=b"one"))
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -278,10 +278,10 @@
                 self.peers.send(member.address, message)
 
     def _compose(self, sample: tuple[Member, ...]) -> Heartbeat:
-        version = self.configuration.version
+        version = self.configuration.news_version
         is_away = self.configuration.is_away or self.instances.is_away
         self.table.beat(version, is_away)
-        return Heartbeat(version, "", Freshness(0), self.instances.version, sample)
+        return Heartbeat(version, "", Freshness(0), self.instances.news_version, sample)
 
     def _member(self) -> Member:
         settings = self._settings
