Lead a VM that starts again to the others at once

Cause: the platform names no seeds where no role serves the interface that they are addresses of. Rows outlive their VMs: a VM reads them first, and writes only where its own is missing. When the whole fleet starts for the first time it writes first, as before.

--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -1,20 +1,18 @@
 """One VM of the fleet: all slices bound to each other."""
 
 import gc
-import json
 import signal
 from random import Random
 from typing import Any, Final
 
 from circuits import Component
-from result import Result
 
 from ..attempts.fleet_budget import FleetBudgets
 from ..backends.messages import Instance
 from ..backends.ownership import Vm
 from ..clock import Millis
 from ..discovery.follower import FollowerSettings, TableFollower
-from ..discovery.messages import TableError, TableNews, TableNotice, TableRow
+from ..discovery.messages import TableNotice
 from ..discovery.peer_copies import answer_peer, ask_peer
 from ..discovery.readers import is_reader
 from ..discovery.registry import StoreAccess
@@ -42,6 +40,7 @@
 from .reload import ReadSettings, SettingsReload
 from .settings import NodeSettings
 from .status import StatusInterface
+from .vm_register import VmRegister
 
 PACE: Final = HeartbeatPace(interval=1_000.0, fanout=2)
 LIVENESS: Final = Liveness(6_000.0, span_per_member=200.0, sample=16)
@@ -58,9 +57,6 @@
 STOP_MARGIN_MS: Final = 700.0
 """Time left within the grace for the end of the process, also on a slow machine."""
 HELD_BYTES: Final = 1 << 20
-ENOUGH_MEMBERS: Final = 4
-"""Live VMs from which heartbeats lead to all others within seconds."""
-REGISTER_AFTER_MS: Final = 1_000.0
 YOUNG_COLLECTION_THRESHOLD: Final = 10_000
 LONGEST_RETRY_AFTER_MS: Final = 600.0
 SHORTEST_RETRY_AFTER_MS: Final = 150.0
@@ -181,12 +177,15 @@
             settings.peers, lambda request: answer_peer(copies, request)
         ).register(self)
         loop.every(SHARE_MS, self._share_capacity)
-        loop.after(REGISTER_AFTER_MS * random.random(), self._register_vm)
         self._reload = SettingsReload(loop, settings, read_settings, self._apply)
         # The default action of this signal ends the process.
         signal.signal(
             signal.SIGHUP, lambda number, frame: loop.soon(self._reload.check)
         )
+        register = VmRegister(
+            loop, adapter.store, adapter.tables.vms, settings.name, self.table, random
+        )
+        register.begin(settings.is_first_start)
         self.configuration.begin()
         self.instances.begin()
 
@@ -296,43 +295,6 @@
             for host, port in settings.seeds
         )
 
-    def _register_vm(self) -> None:
-        """Tell the others where this VM is, and read where they are."""
-        me = self.table.me
-        value = json.dumps([me.address, me.zone, me.region]).encode()
-        self._adapter.store.put(
-            self._adapter.tables.vms, self._settings.name, value, self._on_registered
-        )
-
-    def _on_registered(self, error: str) -> None:
-        if error:
-            log.warning("this VM could not be registered", error=error)
-            self.loop.after(REGISTER_AFTER_MS, self._register_vm)
-            return
-        self.loop.after(REGISTER_AFTER_MS, self._read_vms_if_alone)
-
-    def _read_vms_if_alone(self) -> None:
-        """Read where the others are, unless the seeds have led to enough of them."""
-        live = self.table.live(self.loop.clock.now())
-        if len(live) - 1 < ENOUGH_MEMBERS:
-            self._read_vms()
-
-    def _read_vms(self) -> None:
-        self._adapter.store.read_all(self._adapter.tables.vms, self._on_vms)
-
-    def _on_vms(self, result: Result[Any, TableError]) -> None:
-        news = result.ok()
-        if not isinstance(news, TableNews):
-            log.warning("the list of VMs could not be read")
-            self.loop.after(REGISTER_AFTER_MS, self._read_vms)
-            return
-        members = [self._listed_vm(row) for row in news.rows if row.value]
-        self.table.hint(members, self.loop.clock.now())
-
-    def _listed_vm(self, row: TableRow) -> Member:
-        address, zone, region = json.loads(row.value or b"[]")
-        return Member(str(address), 0, 0, str(zone), str(region), False, 0)
-
     def _fleet_size(self) -> int:
         """Return how many VMs may be making further attempts now."""
         return len(self.table.known()) + 1
--- a/src/galenaferry/node/settings.py
+++ b/src/galenaferry/node/settings.py
@@ -16,6 +16,7 @@
     ``drain_after`` is the time after which an instance that leaves must get nothing
     new, ``grace`` the time between the request to stop and the end of the process,
     and ``floor`` the part of a service's sound instances that always get work.
+    ``is_first_start`` tells that the fleet as a whole has never run before.
     """
 
     name: str
@@ -30,3 +31,4 @@
     grace: Millis
     floor: float
     budget: BudgetBounds
+    is_first_start: bool = False
--- /dev/null
+++ b/src/galenaferry/node/vm_register.py
@@ -0,0 +1,130 @@
+"""Where the VMs of the fleet are: a table in the store, read and written at the start.
+
+Rows outlive their VMs. After a loss of power they lead a VM to all others at once;
+one that is down is contacted in vain and then forgotten.
+"""
+
+import json
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Final
+
+from result import Err, Ok, Result
+
+from ..clock import Millis
+from ..discovery.messages import HistoryLost, TableError, TableNews, TableRow
+from ..logs import logger
+from ..membership.messages import Member
+from ..membership.state import MemberTable
+from ..network.loop import Loop
+from .adapter import Store
+
+SPREAD_MS: Final = 1_000.0
+"""Within this time the VMs that start together write their rows, one call each."""
+AGAIN_MS: Final = 1_000.0
+"""Time after which a failed call is repeated, and after which VMs that started
+together have written their rows."""
+ENOUGH_MEMBERS: Final = 4
+"""Live VMs from which heartbeats lead to all others within seconds."""
+
+log = logger("membership")
+
+
+class VmRegister:
+    """This VM's row among those of the fleet.
+
+    Parameters
+    ----------
+    loop : Loop
+    store : Store
+    table_name : str
+        Table of the store.
+    key : str
+        Key of this VM's row.
+    members : MemberTable
+        Gets the VMs that the rows name.
+    random : Random
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        store: Store,
+        table_name: str,
+        key: str,
+        members: MemberTable,
+        random: Random,
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self._table_name = table_name
+        self._key = key
+        self._members = members
+        self._random = random
+
+    def begin(self, is_first_start: bool) -> None:
+        """Read the rows, and write this VM's where it is missing.
+
+        When the whole fleet starts for the first time there is nothing to read.
+        """
+        if is_first_start:
+            self._write_soon()
+        else:
+            self._read(self._on_first_rows)
+
+    def _read(self, done: Callable[[Iterable[TableRow]], None]) -> None:
+        def finish(result: Result[TableNews | HistoryLost, TableError]) -> None:
+            match result:
+                case Ok(TableNews() as news):
+                    done(news.rows)
+                case Err(error):
+                    log.warning("the list of VMs could not be read", error=error.text)
+                    self._loop.after(AGAIN_MS, lambda: self._read(done))
+
+        self._store.read_all(self._table_name, finish)
+
+    def _on_first_rows(self, rows: Iterable[TableRow]) -> None:
+        rows = list(rows)
+        self._hint(rows)
+        if TableRow(self._key, self._row_value()) in rows:
+            self._loop.after(AGAIN_MS, self._read_if_alone)
+        else:
+            self._write_soon()
+
+    def _hint(self, rows: Iterable[TableRow]) -> None:
+        found = [_parse_row(row) for row in rows if row.value is not None]
+        members = [member for member in found if member is not None]
+        self._members.hint(members, self._loop.clock.now())
+
+    def _write_soon(self) -> None:
+        self._loop.after(SPREAD_MS * self._random.random(), self._write)
+
+    def _write(self) -> None:
+        value = self._row_value()
+        self._store.put(self._table_name, self._key, value, self._on_written)
+
+    def _row_value(self) -> bytes:
+        me = self._members.me
+        return json.dumps([me.address, me.zone, me.region]).encode()
+
+    def _on_written(self, error: str) -> None:
+        if error:
+            log.warning("this VM could not be registered", error=error)
+            self._loop.after(AGAIN_MS, self._write)
+            return
+        self._loop.after(AGAIN_MS, self._read_if_alone)
+
+    def _read_if_alone(self) -> None:
+        """Read the rows unless enough of the others are known already."""
+        now: Millis = self._loop.clock.now()
+        if len(self._members.live(now)) - 1 < ENOUGH_MEMBERS:
+            self._read(self._hint)
+
+
+def _parse_row(row: TableRow) -> Member | None:
+    try:
+        address, zone, region = json.loads(row.value or b"")
+    except (ValueError, TypeError) as error:
+        log.warning("the row names no VM", row=row.key, error=str(error))
+        return None
+    return Member(str(address), 0, 0, str(zone), str(region), False, 0)
--- a/src/galenaferry/platform/settings.py
+++ b/src/galenaferry/platform/settings.py
@@ -40,6 +40,10 @@
             self.find(key, str(error))
             return default
 
+    def read_if_given(self, key: str, parse: Callable[[Any], T], default: T) -> T:
+        """Return a parsed field, or ``default`` where there is none."""
+        return self.read(key, parse, default) if key in self._data else default
+
     def table(self, key: str) -> "_Fields":
         """Return the fields of a nested table."""
         return _Fields(self._file, self._data.get(key), key, self._findings)
@@ -84,6 +88,7 @@
             slack=bounds.read("retryBudgetSlack", _parse_number, 0.0),
             window=bounds.read("budgetWindowS", _parse_number, 0.0) * 1000.0,
         ),
+        is_first_start=fields.read_if_given("bootstrap", _parse_flag, False),
     )
     return Err(findings) if findings else Ok(settings)
 
@@ -101,6 +106,12 @@
     return value
 
 
+def _parse_flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is neither true nor false")
+    return value
+
+
 def _parse_texts(value: Any) -> tuple[str, ...]:
     if not isinstance(value, list):
         raise ValueError(f"{value!r} is not a list")
--- a/src/galenaferry/platform/tests/test_boundary.py
+++ b/src/galenaferry/platform/tests/test_boundary.py
@@ -7,7 +7,7 @@
 WORDS = re.compile(
     r"galenaferry-(expected-instance|not-executed|response-signature|request-deadline)"
     r"|rows-(get|tx|feed)|blob-(put|get)|coldRemainingMs|trafficSplit|internalPortRange"
-    r"|seedNodes|maxConnections|healthCheckPath|timeoutMs|waitMs|GALENAFERRY_NODE_FILE",
+    r"|seedNodes|bootstrap|maxConnections|healthCheckPath|timeoutMs|waitMs|GALENAFERRY_NODE_FILE",
     re.IGNORECASE,
 )
 
--- a/src/galenaferry/platform/tests/test_settings.py
+++ b/src/galenaferry/platform/tests/test_settings.py
@@ -12,6 +12,14 @@
     assert settings.seeds == (("10.1.0.18", 7200), ("10.2.0.34", 7200))
     assert settings.grace == 6000.0
     assert settings.budget == (0.2, 58.0, 10_000.0)
+    assert not settings.is_first_start
+
+
+def test_a_first_start_is_told_and_nothing_else_is_taken_for_it():
+    first = read_node_file("local.toml", "bootstrap = true" + NODE_FILE).unwrap()
+    assert first.is_first_start
+    findings = read_node_file("local.toml", "bootstrap = 1" + NODE_FILE).unwrap_err()
+    assert [f.key for f in findings] == ["bootstrap"]
 
 
 def test_all_findings_come_together_with_their_places():
