--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -12,7 +12,7 @@
 from ..backends.ownership import Vm
 from ..clock import Millis
 from ..discovery.follower import FollowerSettings, TableFollower
-from ..discovery.messages import TableNotice
+from ..discovery.messages import TableNotice, TableRow
 from ..discovery.peer_copies import answer_peer, ask_peer
 from ..discovery.readers import is_reader
 from ..discovery.registry import StoreAccess
@@ -30,6 +30,7 @@
 from ..requests.component import RequestsComponent
 from ..requests.context import RequestContext
 from ..requests.interface import RequestSettings
+from ..requests.opening import Opening
 from ..requests.story import Story
 from ..routing.hosts import HostRoutes
 from ..spreading.messages import SpreadMessage
@@ -114,8 +115,9 @@
             adapter.store,
             self._ask_peer,
             random,
-            ConfigurationTable(adapter, self.routes).on_change,
+            self._on_configuration,
         )
+        self._configuration_table = ConfigurationTable(adapter, self.routes)
         instances = InstancesTable(
             loop, adapter, self._store_access, self._on_instances
         )
@@ -152,6 +154,7 @@
             limits=lambda: self.routes.limits,
             retry_after=self._retry_after,
             patience=self.placement,
+            opening=Opening(loop),
             on_story=self._on_story,
         )
         self.requests = RequestsComponent(self.context, settings.callers).register(self)
@@ -268,8 +271,18 @@
     def _store_access(self) -> StoreAccess:
         return StoreAccess(self.instances.is_away, self.instances.failed_at)
 
+    def _on_configuration(self, rows: tuple[TableRow, ...]) -> None:
+        self._configuration_table.on_change(rows)
+        self._end_opening_if_known()
+
     def _on_instances(self, instances: tuple[Instance, ...]) -> None:
         self.placement.replace(instances)
+        self._end_opening_if_known()
+
+    def _end_opening_if_known(self) -> None:
+        opening = self.context.opening
+        if opening is not None and self.routes.version and self.placement.by_service:
+            self.loop.soon(opening.end)
 
     def _tell_all(self, message: Outcomes | TableNotice) -> None:
         for member in self.table.live_in_region(self.loop.clock.now()):
--- a/src/galenaferry/requests/context.py
+++ b/src/galenaferry/requests/context.py
@@ -17,6 +17,7 @@
 from .answers import RETRY_AFTER_MS
 from .interface import RequestSettings
 from .messages import RequestCounters
+from .opening import Opening
 from .overdue import Patience
 from .story import Story
 from .waiting import WaitingLine
@@ -95,7 +96,8 @@
 
     ``detached`` holds the exchanges that go on after their caller left.
     ``retry_after`` gives when a refused request for a service may come back, in
-    milliseconds, and ``limits`` what callers may send at present.
+    milliseconds, and ``limits`` what callers may send at present. ``opening`` holds
+    requests that come before the VM knows its routes.
     """
 
     loop: Loop
@@ -111,6 +113,7 @@
     retry_after: Callable[[str], Millis] = _fixed_retry_after
     line_by_service: dict[str, WaitingLine] = field(default_factory=dict)
     patience: Patience | None = None
+    opening: Opening | None = None
     on_story: Callable[[Story], None] = _forget_story
     detached: set[Any] = field(default_factory=set)
     is_stopping: bool = False
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -91,7 +91,13 @@
         """Route the request and make its first attempt."""
         context = self._context
         context.counters.received += 1
-        match context.routes.route(self.head):
+        if context.opening is None or not context.opening.hold(self._begin):
+            self._begin()
+
+    def _begin(self) -> None:
+        if self.is_over:
+            return
+        match self._context.routes.route(self.head):
             case NoConfiguration():
                 self.refuse(503, "no configuration is known yet")
             case NoRoute():
@@ -111,6 +117,7 @@
         self._route = route
         settings = context.settings
         total = total_time(self.head, route.policy, settings.names.time_left)
+        total -= context.loop.clock.now() - self._story.began_at
         extends = settings.do_uploads_extend
         self._deadline = Deadline(
             context.loop, total, self.body, self._on_deadline, extends
