Tell outcomes also to VMs that were only read of

They are told for two seconds; a VM also counts as live by what it tells. The order of heartbeats' targets no longer depends on the hashing of the run.

--- a/src/galenaferry/membership/state.py
+++ b/src/galenaferry/membership/state.py
@@ -10,6 +10,8 @@
 LIVE_SPAN_MS: Final = 6_000.0
 FRESH_MS: Final = 3_000.0
 """Half of the shortest time for which a member counts as live."""
+GREETING_MS: Final = 2_000.0
+"""Time within which a live VM that was only read of is heard of, by heartbeats."""
 FORGOTTEN_MS: Final = 60_000.0
 MEMBERS_PER_OTHER_REGION: Final = 4
 SAMPLE_SIZE: Final = 10
@@ -52,7 +54,8 @@
         self._liveness = liveness
         self._members: dict[str, Member] = {}
         self._advanced_at: dict[str, Millis] = {}
-        self._unheard: set[str] = set()
+        # In order, so that what is sent does not change from run to run.
+        self._unheard: dict[str, None] = {}
         self._count_by_region: dict[str, int] = {}
         self._regions = {me.region}
 
@@ -103,7 +106,7 @@
         if newer > (known.incarnation, known.counter):
             self._members[member.address] = member
             self._advanced_at[member.address] = now
-            self._unheard.discard(member.address)
+            self._unheard.pop(member.address, None)
 
     def is_news(self, member: Member, now: Millis) -> bool:
         """Whether the member was not live here before, or started again."""
@@ -129,7 +132,8 @@
             is_known = member.address in self._members
             if not is_known and member.address != self.me.address:
                 self._add(member, now)
-                self._unheard.add(member.address)
+                if member.address in self._members:
+                    self._unheard[member.address] = None
 
     def live(self, now: Millis) -> list[Member]:
         """Return the live members that don't leave, this VM included."""
@@ -140,6 +144,20 @@
         ]
         return [*others, self.me]
 
+    def recipients(self, now: Millis) -> list[Member]:
+        """Return the other members of the own region that may hear what is told.
+
+        These are the live ones and, for a while, those that were only read of: VMs
+        that start together have not heard of each other yet.
+        """
+        live = [m for m in self.live_in_region(now) if m.address != self.me.address]
+        unheard = [
+            self._members[address]
+            for address in self._unheard
+            if now - self._advanced_at[address] < GREETING_MS
+        ]
+        return live + [m for m in unheard if m.region == self.me.region]
+
     def live_in_region(self, now: Millis) -> list[Member]:
         """Return the live members of the own region, this VM included."""
         region = self.me.region
@@ -156,7 +174,8 @@
         that lost each other meet again.
         """
         live = [m.address for m in self.live(now) if m.address != self.me.address]
-        silent = list(self._members.keys() - set(live))
+        is_live = set(live)
+        silent = [address for address in self._members if address not in is_live]
         chosen = self._random.sample(live, min(count, len(live)))
         if silent:
             chosen.append(self._random.choice(silent))
@@ -178,7 +197,7 @@
         for address, at in list(self._advanced_at.items()):
             if now - at > max(FORGOTTEN_MS, 2.0 * self._span()):
                 member = self._members.pop(address)
-                self._unheard.discard(address)
+                self._unheard.pop(address, None)
                 del self._advanced_at[address]
                 self._count_by_region[member.region] -= 1
 
--- a/src/galenaferry/membership/tests/test_state.py
+++ b/src/galenaferry/membership/tests/test_state.py
@@ -65,3 +65,14 @@
     assert len(table) == 100 + MEMBERS_PER_OTHER_REGION
     table.forget(FORGOTTEN_MS + 1.0)
     assert len(table) == 0
+
+
+def test_members_that_were_only_read_of_are_told_for_a_while():
+    table = MemberTable(member("me"), Random(1))
+    far = [member(f"far-{n}", region="altai") for n in range(9)]
+    table.hint([member("read"), *far], 1000.0)
+    table.hear(member("heard"), 1000.0)
+    table.hear(member("gone", is_leaving=True), 1000.0)
+    told = [m.address for m in table.recipients(1000.0)]
+    assert told == ["heard", "read"]
+    assert [m.address for m in table.recipients(5000.0)] == ["heard"]
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -235,6 +235,7 @@
 
     def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
         """Take over what another VM saw of instances."""
+        self.table.hear(sender, self.loop.clock.now())
         self.placement.on_outcomes(sender.address, outcomes)
 
     def on_spread(self, sender: Member, message: SpreadMessage) -> None:
@@ -259,6 +260,7 @@
 
     def on_table_notice(self, sender: Member, notice: TableNotice) -> None:
         """Take news of the instances that another VM has read."""
+        self.table.hear(sender, self.loop.clock.now())
         self.instances.on_notice(sender.address, notice)
 
     def _is_chosen_reader(self) -> bool:
@@ -285,9 +287,8 @@
             self.loop.soon(opening.end)
 
     def _tell_all(self, message: Outcomes | TableNotice) -> None:
-        for member in self.table.live_in_region(self.loop.clock.now()):
-            if member.address != self.table.me.address:
-                self.peers.send(member.address, message)
+        for member in self.table.recipients(self.loop.clock.now()):
+            self.peers.send(member.address, message)
 
     def _compose(self, sample: tuple[Member, ...]) -> Heartbeat:
         version = self.configuration.news_version
