Take back: no success excuses a failure that came after its request began

Instances with a single failure of the background stay out for seconds, and their load crowds the others.

--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -216,9 +216,6 @@
         if outcome is None:
             return
         belief = self._beliefs.of(instance.name, now)
-        if outcome is Outcome.GOOD and now - latency < belief.failed_at:
-            # It was accepted before the instance failed.
-            return
         is_news = outcome is not Outcome.GOOD or belief.sick(now) > TOLD_ABOVE
         self._add(instance.name, outcome, "this VM", now)
         if is_news:
