--- a/src/galenaferry/placing/tests/test_replay.py
+++ b/src/galenaferry/placing/tests/test_replay.py
@@ -26,6 +26,21 @@
         assert mine.failed_share < other.failed_share / 3.0
 
 
+@pytest.mark.parametrize(
+    "load", [Load(slots=6), Load(slots=6, instances=9, mean_well=30_000.0)]
+)
+def test_with_slots_that_fill_up_callers_lose_less_than_half_as_many(load):
+    for seed in SEEDS:
+        mine, other = play(load, seed), play(load, seed, is_plain=True)
+        assert mine.failed + mine.refused < (other.failed + other.refused) / 2.0
+
+
+def test_an_instance_that_is_full_turns_requests_away():
+    full = Load(slots=1, longest_queue=0, instances=2, mean_sick=1.0, mean_well=1e9)
+    outcome = play(full, SEEDS[0], is_plain=True)
+    assert outcome.refused > outcome.requests / 2.0
+
+
 def test_every_instance_goes_on_being_used(placed):
     for outcome in placed:
         assert outcome.least_share > 0.2
