Check times and planned stops in the soak

What a leaving instance still gets after two seconds, bookings that go by an old configuration after two seconds, and requests that a planned stop cuts are findings, unless a fault of the store or of the same VM may be the reason. Odd seeds play no faults of the store, since with them hardly any time can be checked.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Run the soak: ``python -m soak --seed N --seconds S --vms V``."""
 
 import argparse
+import math
 import signal
 import socket
 import sys
@@ -45,12 +46,16 @@
 class Soak:
     """One seeded run of a fleet with a store, instances and callers."""
 
-    def __init__(self, seed: int, vms: int, folder: Path) -> None:
+    def __init__(self, seed: int, vms: int, folder: Path, is_timed: bool) -> None:
         self.random = Random(seed)
+        # With a store that fails all the time no time could be checked.
+        self._has_store_faults = seed % 2 == 0
         self.root = Component()
         self.loop = Loop()
         self.loop.register(self.root)
         self.ledger = Ledger()
+        if not is_timed:
+            self.ledger.timing.on_fault(0.0, math.inf)
         self.faults: list[str] = []
         port = find_free_ports()
         self._next_port = port + 10
@@ -112,9 +117,10 @@
                 self._signal(vm, signal.SIGTERM, 7_000.0)
             case 2:
                 self._signal(vm, signal.SIGSTOP, lasts)
-            case 3:
+            case 3 if self._has_store_faults:
                 self.store.fault = self.random.choice(STORE_FAULTS)
                 self.faults.append(f"store {self.store.fault}")
+                self.ledger.timing.on_fault(self.loop.clock.now(), lasts)
                 self.loop.after(lasts, lambda: setattr(self.store, "fault", ""))
             case 4:
                 self.faults.append("store loses its history")
@@ -127,11 +133,16 @@
                 self._replace(instance)
             case 8 | 9:
                 self._break_link(lasts)
-            case 10:
+            case 3 | 10:
                 self._configure(self.random.choice(("one", "two")))
 
     def _signal(self, vm: Vm, number: signal.Signals, lasts: float) -> None:
         self.faults.append(f"vm-{vm.number} {number.name}")
+        now = self.loop.clock.now()
+        if number is signal.SIGTERM:
+            self.ledger.timing.on_stopped(vm.front, now)
+        else:
+            self.ledger.timing.on_broken(vm.front, now, lasts)
         vm.signal(number)
         if number is signal.SIGSTOP:
             self.loop.after(lasts, lambda: vm.signal(signal.SIGCONT))
@@ -141,8 +152,12 @@
     def _break_link(self, lasts: float) -> None:
         """Harm the way to an instance, or from all VMs to the store."""
         name, proxy = self.random.choice(sorted(self.proxy_by_name.items()))
+        if name == "store" and not self._has_store_faults:
+            return
         fault = self.random.choice(LINK_FAULTS)
         self.faults.append(f"link to {name} {fault}")
+        if name == "store":
+            self.ledger.timing.on_fault(self.loop.clock.now(), lasts)
         proxy.begin(fault)
         self.loop.after(lasts, proxy.end)
 
@@ -152,6 +167,7 @@
         self.instances.remove(instance)
         self._join(instance.service)
         self.store.put("servers", instance.name, instance.entry("draining"))
+        self.ledger.timing.on_leaving(instance.name, self.loop.clock.now())
         self.loop.after(2_500.0, lambda: self.store.put("servers", instance.name, None))
         self.loop.after(4_000.0, instance.close)
 
@@ -189,6 +205,7 @@
         document = {"version": f"{self._version:08x}", "routes": routes}
         document |= {"services": services, "limits": limits}
         self.store.put("op", "config", document)
+        self.ledger.timing.on_configured(service, self.loop.clock.now())
 
     def _recover(self) -> None:
         self.store.fault = ""
@@ -207,6 +224,9 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many, from --seed on")
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--vms", type=int, default=4)
+    parser.add_argument(
+        "--untimed", action="store_true", help="no checks that a busy machine may fail"
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
@@ -217,7 +237,7 @@
 
 def _run_seed(seed: int, options: argparse.Namespace) -> bool:
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed, options.vms, folder)
+    soak = Soak(seed, options.vms, folder, not options.untimed)
     try:
         soak.run(options.seconds)
     finally:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -46,6 +46,8 @@
         if connection in self._idle[address]:
             self._idle[address].remove(connection)
         self._request_by_connection[connection] = request
+        now = self._loop.clock.now()
+        self._ledger.timing.on_sent(request, address, now)
         method, prefix = ("POST", "/book/") if is_booking else ("GET", "/query/")
         if is_booking:
             self.bookings.add(request)
@@ -71,6 +73,7 @@
             return
         if reason:
             self.outcomes["closed"] += 1
+            self._ledger.timing.on_cut(request, self._loop.clock.now())
             return
         head = connection.head
         assert head is not None
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -6,6 +6,7 @@
 from galenaferry.network.loop import Loop
 
 from .exchange import Incoming, serve
+from .timing import Timing
 
 WORK_MS = 30.0
 MODES = ("well", "errors", "sheds", "hangs", "resets", "loses", "extra", "cuts")
@@ -18,6 +19,7 @@
         self.runs_by_request: Counter[str] = Counter()
         self.services_by_request: defaultdict[str, set[str]] = defaultdict(set)
         self.findings: list[str] = []
+        self.timing = Timing(self.findings)
 
 
 class Instance:
@@ -70,6 +72,8 @@
             return
         self._ledger.runs_by_request[request] += 1
         self._ledger.services_by_request[request].add(self.service)
+        now = self._loop.clock.now()
+        self._ledger.timing.on_run(request, self.name, self.service, now)
         self._loop.after(WORK_MS, lambda: self._answer(incoming, request, mode))
 
     def _answer(self, incoming: Incoming, request: str, mode: str) -> None:
