--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -140,7 +140,8 @@
         self.faults.append(f"vm-{vm.number} {number.name}")
         now = self.loop.clock.now()
         if number is signal.SIGTERM:
-            self.ledger.timing.on_stopped(vm.front, now)
+            if vm.is_serving:
+                self.ledger.timing.on_stopped(vm.front, now)
         else:
             self.ledger.timing.on_broken(vm.front, now, lasts)
         vm.signal(number)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -73,7 +73,8 @@
             return
         if reason:
             self.outcomes["closed"] += 1
-            self._ledger.timing.on_cut(request, self._loop.clock.now())
+            if connection.is_connected:
+                self._ledger.timing.on_cut(request, self._loop.clock.now())
             return
         head = connection.head
         assert head is not None
--- a/soak/exchange.py
+++ b/soak/exchange.py
@@ -79,6 +79,7 @@
         self.body = b""
         self.is_open = True
         self.is_busy = False
+        self.is_connected = False
         self.address = address
         self.stream = connect(loop, address, self)
 
@@ -89,7 +90,8 @@
         self.stream.write(data)
 
     def on_connected(self) -> None:
-        """Do nothing: the request is queued."""
+        """Note that the other end is there; the request is queued."""
+        self.is_connected = True
 
     def on_data(self, data: bytes) -> None:
         """Parse bytes of the answer."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -47,12 +47,14 @@
             )
         )
         self._process: subprocess.Popen[bytes] | None = None
+        self._is_stopping = False
         self.start()
 
     def start(self) -> None:
         """Start the process where none runs."""
         if self._process is not None and self._process.poll() is None:
             return
+        self._is_stopping = False
         environment = os.environ | {
             "GALENAFERRY_NODE_FILE": str(self._file),
             "GALENAFERRY_PEER_KEY": "soak",
@@ -65,10 +67,17 @@
                 stderr=log,
             )
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether the process runs and was not asked to stop."""
+        is_running = self._process is not None and self._process.poll() is None
+        return is_running and not self._is_stopping
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it still runs."""
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
+            self._is_stopping = self._is_stopping or number is signal.SIGTERM
 
     def stop(self) -> None:
         """End the process and wait for its end."""
