Wait at a planned stop until callers have their answers

Cause: the stop counted requests without an answer, and an answer counted as given once it was handed to the connection; the process ended with bytes of it still queued. Closing idle connections could cut one in the same way. A stop now waits for connections with unsent bytes and, for a second at most, for callers to close after an answer that ends the connection. Tests: requests/tests/test_finishing.py (failed before).

--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -106,7 +106,7 @@
         self.drain = DrainComponent(
             self.loop,
             float(settings.drain_wait_ms),
-            lambda: self.requests.in_flight,
+            lambda: self.requests.unfinished,
             self._on_drain_announced,
             self.requests.stop_accepting,
         ).register(self)
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -161,7 +161,7 @@
         self.drain = DrainComponent(
             loop,
             BALANCER_NOTICES_MS,
-            lambda: self.requests.in_flight,
+            lambda: self.requests.unfinished,
             self._on_drain_announced,
             self.requests.stop_accepting,
             settings.grace - BALANCER_NOTICES_MS - STOP_MARGIN_MS,
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -29,6 +29,7 @@
 
     __slots__ = (
         "_answer_is_chunked",
+        "_answered_at",
         "_context",
         "_exchanges",
         "_held",
@@ -58,6 +59,7 @@
         self._is_answer_last = False
         self._held = b""
         self.last_progress: Millis = context.loop.clock.now()
+        self._answered_at: Millis = 0.0
         limits = context.limits()
         self._reader = RequestReader(
             self, RequestLimits(limits.head_bytes, limits.body_bytes)
@@ -69,6 +71,17 @@
         """Whether no request is in progress."""
         return not self._exchanges and self._reader.is_between_requests
 
+    def is_owed(self, since: Millis) -> bool:
+        """Whether the caller waits for an answer or for the rest of one.
+
+        An answer that ends the connection has arrived when the caller closes it; that
+        is expected of answers that were given after the time ``since``.
+        """
+        if self._exchanges or self._stream.has_unsent:
+            return True
+        is_lingering = self._stream.is_open and self._stream.owner is not self
+        return is_lingering and self._answered_at > since
+
     @property
     def has_exchange(self) -> bool:
         """Whether a request waits for its answer."""
@@ -129,6 +142,10 @@
         if self._exchanges and is_expected:
             self._exchanges[-1].on_body_complete()
 
+    def note_progress(self) -> None:
+        """Note that the last answer has left."""
+        self._answered_at = self.last_progress = self._context.loop.clock.now()
+
     def start_answer(self, head: ResponseHead, extra: tuple[Header, ...]) -> None:
         """Send the head of the answer to the first request."""
         request = self._exchanges[0].head
@@ -205,6 +222,7 @@
         self._is_input_over = True
         self._is_reading_body = False
         self._drop_exchanges()
+        self._answered_at = self._context.loop.clock.now()
         self._stream.owner = _Lingering(self)
         self._stream.resume()
         if self._stream.has_unsent:
@@ -249,6 +267,7 @@
         return
 
     def on_drained(self) -> None:
+        self._connection.note_progress()
         self._connection._stream.finish()
 
     def on_ended(self, reason: str) -> None:
--- a/src/galenaferry/requests/component.py
+++ b/src/galenaferry/requests/component.py
@@ -5,11 +5,15 @@
 
 from circuits import BaseComponent
 
+from ..clock import Millis
 from ..network.listener import Listener
 from .caller import CallerConnection
 from .context import RequestContext
 
 SWEEP_MS: Final = 1000.0
+LINGER_MS: Final[Millis] = 1_000.0
+"""Time in which a caller that has its whole answer closes its connection: some round
+trips between the most distant zones and a lost packet."""
 
 
 class RequestsComponent(BaseComponent):
@@ -47,11 +51,19 @@
         waiting = sum(1 for caller in self._callers if caller.has_exchange)
         return waiting + len(self.context.detached)
 
+    @property
+    def unfinished(self) -> int:
+        """Number of connections that a planned stop waits for."""
+        since = self.context.loop.clock.now() - LINGER_MS
+        owed = sum(1 for caller in self._callers if caller.is_owed(since))
+        return owed + len(self.context.detached)
+
     def stop_accepting(self) -> None:
         """Close the listening socket and idle connections."""
         self._listener.close()
+        since = self.context.loop.clock.now() - LINGER_MS
         for caller in list(self._callers):
-            if caller.is_idle:
+            if caller.is_idle and not caller.is_owed(since):
                 caller.close()
 
     def _accept(self, sock: socket.socket) -> None:
