Heed Server-Leaving and Retry-After of instances; identify late copies of responses

Cause: mark_draining of the placement did nothing, and a 503 with Retry-After only paused an instance softly, so that the floor or the fall-back to unavailable candidates chose it again. Ruled out: using the health posterior for both. It decays, and the floor may override it; these two bind whatever the others' health is. A leaving instance gets nothing new, also when a later list calls it ready; the last ones of a service are used for half of the drain timeout. A pausing one gets nothing until its end; if all pause, callers are refused at once with the first end as Retry-After. Other VMs are told of a leaving instance once. Also: a response without an id on a reused connection no longer passes for the answer, and a request that is sent again to an instance gets another connection, where no copy of its first response can arrive.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -71,11 +71,15 @@
         assert head is not None
         request = (head.header(b"galenaferry-request-id") or b"").decode()
         if head.header(b"galenaferry-expected-instance") != self.name.encode():
-            connection.respond(421, {"galenaferry-instance-id": self.name}, b"")
+            headers = {"galenaferry-instance-id": self.name}
+            headers |= {"galenaferry-request-id": request}
+            connection.respond(421, headers, b"")
             return
         mode = self.mode if self._random.random() < 0.5 else "well"
         if mode == "sheds":
-            connection.respond(503, {"galenaferry-not-executed": "1"}, b"")
+            headers = {"galenaferry-not-executed": "1"}
+            headers |= {"galenaferry-request-id": request}
+            connection.respond(503, headers, b"")
             return
         self._record.runs_by_request[request] += 1
         self._record.services_by_request[request].add(self.service)
--- a/src/galenaferry/backends/connection.py
+++ b/src/galenaferry/backends/connection.py
@@ -59,7 +59,7 @@
     """Connection that sends one request and reads one response at a time.
 
     ``on_idle_closed`` is called when the instance closes the connection while no
-    attempt uses it.
+    attempt uses it. ``request_id`` is the id of the latest request on the connection.
     """
 
     __slots__ = (
@@ -74,6 +74,7 @@
         "is_reused",
         "last_activity",
         "on_idle_closed",
+        "request_id",
     )
 
     def __init__(
@@ -86,6 +87,7 @@
         self._bytes_sent_before = 0
         self.is_open = True
         self.is_reused = False
+        self.request_id = b""
         self.idle_limit: Millis = MAX_IDLE_LIMIT_MS
         self.last_activity: Millis = loop.clock.now()
         self.on_idle_closed: Callable[[BackendConnection], None] | None = None
--- a/src/galenaferry/backends/directory.py
+++ b/src/galenaferry/backends/directory.py
@@ -88,8 +88,11 @@
     def borrowing_policy(self, service: str) -> BorrowingPolicy:
         """Return the borrowing policy of a service."""
 
-    def mark_draining(self, address: str) -> None:
-        """Send no new requests for a while to an instance that reported draining."""
+    def mark_draining(self, instance: Instance) -> None:
+        """Send no new requests to an instance that reported draining."""
+
+    def pause(self, instance: Instance, interval: Millis) -> None:
+        """Handle that an instance wants no requests for ``interval`` milliseconds."""
 
     def close_idle(self) -> None:
         """Close connections that exceeded their idle limit."""
@@ -157,8 +160,12 @@
             self._vms = vms
             self._owned_by_service.clear()
 
-    def mark_draining(self, address: str) -> None:
+    def pause(self, instance: Instance, interval: Millis) -> None:
+        """Do nothing: the concurrency window pauses an instance after each shed."""
+
+    def mark_draining(self, instance: Instance) -> None:
         """Send no new requests for a while to an instance that reported draining."""
+        address = instance.address
         if self._loop.clock.now() >= self._draining_until_by_address.get(address, 0.0):
             self.invalidate_candidates()
             self._loop.after(
--- a/src/galenaferry/backends/pool.py
+++ b/src/galenaferry/backends/pool.py
@@ -69,23 +69,32 @@
         window = self._window.size(min(share.connections, share.slots))
         return Load(self.in_flight, window, self._window.paused_until)
 
-    def acquire(self, is_idempotent: bool, share: CapacityShare) -> BackendConnection:
+    def acquire(
+        self, is_idempotent: bool, share: CapacityShare, request_id: bytes = b""
+    ) -> BackendConnection:
         """Return an idle connection or one that is being established.
 
+        A request that is sent again does not get the connection of its previous
+        attempt, where a second copy of the response to that attempt could arrive late
+        and would have the id of the request.
+
         A request that is not idempotent gets a recently active connection or a new
         one, because the peer of a long idle connection may no longer respond. At the
         limit of open connections the longest idle one is closed before a new one is
         opened.
         """
         self.in_flight += 1
-        connection = self._pop_idle(is_idempotent)
+        connection = self._pop_idle(is_idempotent, request_id)
         if connection is not None:
+            connection.request_id = request_id
             return connection
         if self._open_count >= share.connections and self._idle:
             self._idle.popleft().close()
         self._open_count += 1
         host, _, port = self.instance.address.rpartition(":")
-        return BackendConnection(self._loop, (host, int(port)), self._on_closed)
+        connection = BackendConnection(self._loop, (host, int(port)), self._on_closed)
+        connection.request_id = request_id
+        return connection
 
     def release(self, connection: BackendConnection) -> None:
         """Return a connection to the pool after a complete exchange."""
@@ -122,7 +131,9 @@
         while self._idle:
             self._idle.popleft().close()
 
-    def _pop_idle(self, is_idempotent: bool) -> BackendConnection | None:
+    def _pop_idle(
+        self, is_idempotent: bool, request_id: bytes
+    ) -> BackendConnection | None:
         """Return the idle connection that was released last, unless it is too old."""
         now = self._loop.clock.now()
         while self._idle:
@@ -134,7 +145,9 @@
             if now - connection.last_activity > longest:
                 return None
             self._idle.pop()
-            if connection.is_open:
+            if request_id and connection.request_id == request_id:
+                connection.close()
+            elif connection.is_open:
                 return connection
         return None
 
--- a/src/galenaferry/health/posteriors.py
+++ b/src/galenaferry/health/posteriors.py
@@ -28,7 +28,8 @@
 
     ``placing.component`` derives it from ``attempts.messages.Evidence``. ``SHED``
     stands for a request that the instance rejected without executing it, ``DOUBTFUL``
-    for a failure on a reused connection, which may have been stale.
+    for a failure on a reused connection, which may have been stale. ``LEAVING`` is the
+    announcement of an instance that it leaves, which is no evidence of its health.
     """
 
     GOOD = 0
@@ -37,13 +38,15 @@
     SHED = 3
     UNREACHABLE = 4
     DOUBTFUL = 5
+    LEAVING = 6
 
 
 class FaultModel(NamedTuple):
     """Two-state Markov model of an instance; times in milliseconds.
 
-    ``likelihood_ratio_by_outcome`` is indexed by ``Outcome`` and gives the probability
-    of the outcome at a sick instance divided by that at a healthy one.
+    ``likelihood_ratio_by_outcome`` is indexed by the outcomes below ``LEAVING`` and
+    gives the probability of the outcome at a sick instance divided by that at a healthy
+    one.
     """
 
     mean_healthy_time: Millis = 9_000.0
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -121,7 +121,7 @@
         ).register(self)
         self.placement = Placement(
             loop,
-            PlacementSettings(settings.zone, settings.floor_share),
+            _placement_settings(settings),
             random,
             self._broadcast,
         )
@@ -177,6 +177,7 @@
                 is_shed_counted_as_attempt=True,
                 is_503_only_for_not_run=True,
                 is_deadline_extended_by_uploads=False,
+                is_request_id_echoed=True,
                 certifying_statuses=None,
             ),
             budgets=self._make_budgets(),
@@ -294,7 +295,7 @@
         self._adapter.store.set_address(settings.store)
         self.table.add_unconfirmed(self._seed_members(), self.loop.clock.now())
         self.context.budgets = self._make_budgets()
-        self.placement.settings = PlacementSettings(settings.zone, settings.floor_share)
+        self.placement.settings = _placement_settings(settings)
 
     def _make_budgets(self) -> FleetBudgets:
         return FleetBudgets(self._settings.budget, self.loop.clock, self._fleet_size)
@@ -381,9 +382,15 @@
         self.placement.set_live_vms(Vm(me.address, me.zone), vms)
 
     def _retry_after(self, service: str) -> Millis:
-        """Return the delay after which a refused caller may retry, with jitter."""
-        spread = MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS
-        return MIN_RETRY_AFTER_MS + spread * self._random.random()
+        """Return the delay after which a refused caller may retry, with jitter.
+
+        If all instances of the service asked for a pause, it ends after the first one.
+        """
+        spread = (MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS) * self._random.random()
+        next_return = self.placement.next_return(service)
+        if next_return is not None:
+            return next_return - self.loop.clock.now() + spread
+        return MIN_RETRY_AFTER_MS + spread
 
     def _make_metrics(self) -> NodeMetrics:
         now = self.loop.clock.now
@@ -416,6 +423,12 @@
         self._heartbeats.send_heartbeats()
 
 
+def _placement_settings(settings: NodeSettings) -> PlacementSettings:
+    return PlacementSettings(
+        settings.zone, settings.floor_share, settings.drain_timeout
+    )
+
+
 def run(node: Node, name: str) -> None:
     """Serve until the graceful shutdown is complete."""
     gc.collect()
--- a/src/galenaferry/node/settings.py
+++ b/src/galenaferry/node/settings.py
@@ -15,8 +15,8 @@
     requests, for the load balancer and operators, and for other VMs (TCP and UDP).
     ``seeds`` are the addresses of VMs to contact first, and ``store`` is the address
     of the platform's store. ``drain_timeout`` is the time after which a draining
-    instance must get no new requests; no code reads it, and the intervals of reads and
-    notices are constants that assume 2 s. ``grace_period`` is the time from the request
+    instance must get no new requests. The intervals of reads and notices are constants
+    that assume 2 s or more. ``grace_period`` is the time from the request
     to stop to the end of the process. ``floor_share`` is the share of a service's
     instances without recent failures that always stays eligible for requests.
     ``budget`` limits the retries of the whole fleet.
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -22,6 +22,7 @@
 from ..health.posteriors import FaultModel, Outcome, Posterior, Posteriors
 from ..logs import logger
 from ..network.loop import Loop
+from .announcements import Announcements, Usability
 from .decisions import PROBE_BELOW, Candidate, RequestProfile, choose_instance
 from .latency import LatencyTracker
 from .reachability import Reachability
@@ -68,11 +69,13 @@
     """Settings of placement.
 
     ``floor`` is the smallest share of the instances without a recent failure that stay
-    in use.
+    in use. ``drain_timeout`` is the time in milliseconds after which an instance that
+    announced that it leaves must get no new requests.
     """
 
     zone: str
     floor: float
+    drain_timeout: Millis = 2_000.0
     model: FaultModel = FaultModel()
 
 
@@ -113,6 +116,7 @@
         self._queued_outcomes: list[InstanceOutcome] = []
         self._posteriors = Posteriors(settings.model)
         self._reachability = Reachability()
+        self._announcements = Announcements()
         self._name_by_key: dict[int, str] = {}
         self._instance_by_address: dict[str, Instance] = {}
         self._pool_by_name: dict[str, InstancePool] = {}
@@ -161,13 +165,16 @@
         ``share`` and ``may_borrow`` are ignored: owned slots are preferred by cost.
         """
         now = self._loop.clock.now()
-        candidates = [
-            self._candidate(static_candidate, now)
+        untried = [
+            static_candidate
             for static_candidate in self._static_candidates(
                 criteria.service, criteria.policy
             )
             if static_candidate.instance.address not in criteria.tried
         ]
+        if not self._announcements.is_empty:
+            untried = self._usable(untried, now)
+        candidates = [self._candidate(static, now) for static in untried]
         profile = RequestProfile(
             is_idempotent=criteria.is_idempotent,
             response_kb=self._response_kb_by_route.get(criteria.route, 1.0),
@@ -175,6 +182,28 @@
         )
         return choose_instance(candidates, profile, self._random)
 
+    def _usable(
+        self, static_candidates: list[_StaticCandidate], now: Millis
+    ) -> list[_StaticCandidate]:
+        """Return the candidates whose announcements permit new requests."""
+        by_usability: dict[Usability, list[_StaticCandidate]] = {}
+        for static in static_candidates:
+            usability = self._announcements.usability(
+                static.name, self.settings.drain_timeout, now
+            )
+            by_usability.setdefault(usability, []).append(static)
+        return by_usability.get(Usability.USABLE) or by_usability.get(
+            Usability.LAST_RESORT, []
+        )
+
+    def next_return(self, service: str) -> Millis | None:
+        """Return when a service whose instances all ask for a pause has one again.
+
+        The time is monotonic, in milliseconds; None if some instance asks for none.
+        """
+        names = (instance.name for instance in self.by_service.get(service, ()))
+        return self._announcements.next_return(names, self._loop.clock.now())
+
     def capacity_share(self, policy: Policy) -> CapacityShare:
         """Return this VM's part of an instance's connections, and all of its slots."""
         usable_connections = (
@@ -203,8 +232,18 @@
         """Return the borrowing statistics, which do not affect placement."""
         return self._borrowing
 
-    def mark_draining(self, address: str) -> None:
-        """Do nothing: the instance list says which instances drain."""
+    def mark_draining(self, instance: Instance) -> None:
+        """Send no new requests to an instance that announced that it leaves."""
+        now = self._loop.clock.now()
+        if self._announcements.on_leaving(instance.name, "this VM", now):
+            self._queue_broadcast(
+                InstanceOutcome(instance_key(instance.name), Outcome.LEAVING)
+            )
+
+    def pause(self, instance: Instance, interval: Millis) -> None:
+        """Send no requests to an instance that asked for a pause."""
+        now = self._loop.clock.now()
+        self._announcements.on_pause(instance.name, interval, now)
 
     def close_idle(self) -> None:
         """Close connections that were idle too long."""
@@ -251,7 +290,11 @@
         now = self._loop.clock.now()
         for instance_outcome in outcomes.instance_outcomes:
             name = self._name_by_key.get(instance_outcome.key)
-            if name is not None:
+            if name is None:
+                continue
+            if instance_outcome.outcome is Outcome.LEAVING:
+                self._announcements.on_leaving(name, sender, now)
+            else:
                 self._apply_outcome(name, instance_outcome.outcome, sender, now)
 
     def _apply_outcome(
--- a/src/galenaferry/platform/headers.py
+++ b/src/galenaferry/platform/headers.py
@@ -9,7 +9,7 @@
     # The remaining time until the caller gives up, not a point in time.
     time_left=b"galenaferry-request-deadline-ms",
     attempt=b"",
-    draining=b"",
+    draining=b"server-leaving",
     not_run=(b"galenaferry-not-executed", b""),
     # Set by the instance on each of its responses, not by the proxy.
     signature=b"galenaferry-response-signature",
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -30,6 +30,7 @@
 from ..framing.messages import Header, RequestHead, ResponseHead
 from ..routing.table import NoConfiguration, NoRoute, Route
 from .admission import TOKEN_RECHECK_MS, Admission, AttemptPermit
+from .announcements import record_announcements
 from .attempt import Attempt
 from .attempt_recording import SentAttempt, record_attempt_outcome
 from .body import RequestBody
@@ -232,14 +233,16 @@
         """Forward the head, or discard the response and retry or refuse."""
         settings = self._context.settings
         outcome = classify_status(head.status, is_certified_not_run(settings, head))
-        error = find_response_error(settings.names, head)
+        is_reused = self._attempt is not None and self._attempt.is_reused
+        error = find_response_error(settings, head, is_reused)
         if error:
             outcome = BadResponse(error)
             if self._attempt is not None:
                 self._attempt.abandon()
-        draining = settings.names.draining
-        if draining and head.header(draining) and self._instance is not None:
-            self._context.directory.mark_draining(self._instance.address)
+        if self._instance is not None:
+            record_announcements(
+                self._context.directory, settings.names, self._instance, head, outcome
+            )
         evaluation = evaluate_outcome(outcome)
         self._record_attempt(outcome, evaluation)
         if self._acquire_retry(evaluation):
@@ -401,7 +404,7 @@
     def _send_to(self, instance: Instance, route: Route) -> None:
         context = self._context
         pool = context.directory.pool(instance)
-        connection = pool.acquire(route.is_idempotent, self._share)
+        connection = pool.acquire(route.is_idempotent, self._share, self._request_id)
         self._instance = instance
         context.counters.remote_zone += instance.zone != context.directory.zone
         self._tried_addresses |= {instance.address}
--- a/src/galenaferry/requests/interface.py
+++ b/src/galenaferry/requests/interface.py
@@ -63,6 +63,9 @@
         Whether status 503 is kept for requests that were not executed, and replaced by
         502 for others, because callers take every 503 as proof that the request was
         not executed, whatever other headers say.
+    is_request_id_echoed : bool
+        Whether instances repeat the id of the request in each response. A response
+        without it on a reused connection may then belong to an earlier request.
     certifying_statuses : frozenset of int or None
         Statuses with which an instance can certify that it did not execute a request,
         None for every status that ``attempts.outcomes.classify_status`` accepts.
@@ -75,6 +78,7 @@
     is_shed_counted_as_attempt: bool = False
     is_deadline_extended_by_uploads: bool = True
     is_503_only_for_not_run: bool = False
+    is_request_id_echoed: bool = False
     certifying_statuses: frozenset[int] | None = DEFAULT_CERTIFYING_STATUSES
 
 
@@ -91,8 +95,14 @@
     return given is not None and (not value or given == value)
 
 
-def find_response_error(names: HeaderNames, head: ResponseHead) -> str:
-    """Return why a response can't come from an instance, empty if it can."""
+def find_response_error(
+    settings: RequestSettings, head: ResponseHead, is_connection_reused: bool
+) -> str:
+    """Return why a response can't answer the request, empty if it can."""
+    names = settings.names
+    is_id_needed = settings.is_request_id_echoed and is_connection_reused
+    if is_id_needed and head.header(names.request_id) is None:
+        return "no request id on a connection that was used before"
     if not names.signature or head.status >= 300:
         return ""
     if head.header(names.signature) is None:
--- a/src/galenaferry/requests/tests/test_interface.py
+++ b/src/galenaferry/requests/tests/test_interface.py
@@ -42,7 +42,19 @@
     ],
 )
 def test_a_response_that_cannot_come_from_an_instance_is_detected(response, error):
-    assert find_response_error(NAMES, response) == error
+    assert find_response_error(SETTINGS, response, False) == error
+
+
+@pytest.mark.parametrize("status", [200, 500, 503])
+def test_an_unidentified_response_on_a_reused_connection_is_not_accepted(status):
+    # It may be a second copy of the response to an earlier request.
+    settings = SETTINGS._replace(is_request_id_echoed=True)
+    unidentified = head(status, signature=b"s")
+    assert find_response_error(settings, unidentified, True)
+    assert not find_response_error(settings, unidentified, False)
+    assert not find_response_error(
+        settings, head(status, id=b"1", signature=b"s"), True
+    )
 
 
 @pytest.mark.parametrize(
