Count only an unfinished head toward its limit; go on after a callback fails

Cause: RequestReader counted a whole read as head if the read ended a request; valid uploads got 431. The limit also counted separators only where a head came in parts. An exception in one callback ended the poll: other callbacks of that round were lost, and a row of the VM table with a bad address made every later round of heartbeats fail. Ruled out: refusing by the first read alone, which can't limit a header that never ends. Change: bytes count while a head is unfinished, with room for separators. The loop of a serving process logs a failed callback and goes on; its stream is closed and its owner told. Addresses from peers and rows are checked when they are read.

--- a/benches/requests.py
+++ b/benches/requests.py
@@ -58,21 +58,30 @@
 
     position = 0
 
-    def choose(self, service, tried, policy, share, may_borrow, is_idempotent):
-        instances = self.by_service.get(service, ())
+    def choose(self, criteria, share, may_borrow):
+        instances = self.by_service.get(criteria.service, ())
         for _ in instances:
             RoundRobinDirectory.position += 1
             instance = instances[RoundRobinDirectory.position % len(instances)]
-            if instance.address not in tried:
+            if instance.address not in criteria.tried:
                 return Chosen(instance)
         return NoInstance()
 
 
-class UnlimitedRetryBudget(RetryBudget):
+class UnlimitedBudget(RetryBudget):
     def try_spend(self):
         return True
 
 
+class UnlimitedBudgets:
+    """Budgets of the baseline, which retries without a limit."""
+
+    def retry(self, service):
+        return UnlimitedBudget()
+
+    shed = retry
+
+
 class RequestSimulation:
     """VMs, backend servers and callers on one event loop.
 
@@ -126,7 +135,7 @@
                 Random(seed + number),
             )
             if is_baseline:
-                context.budget_by_service[SERVICE] = UnlimitedRetryBudget()
+                context.budgets = UnlimitedBudgets()
             self.contexts.append(context)
             self.components.append(RequestsComponent(context, (LOOPBACK, 0)))
         self.results: dict[str, FetchResult] = {}
--- a/src/galenaferry/admin/tests/test_interface.py
+++ b/src/galenaferry/admin/tests/test_interface.py
@@ -97,3 +97,11 @@
     request = JsonRequest("PUT", f"/v1/changes/{change_id}", {}, headers, body, b"")
     response = AdminBench().interface.respond(request)
     assert response.status == 202 or response.body["error"]["text"]
+
+
+@pytest.mark.parametrize("version", ["%C2%B2", "-1", "1.0", "9" * 30, "x"])
+def test_an_invalid_version_is_refused_with_its_name(version):
+    bench = AdminBench()
+    response = bench.send_request("GET", f"/v1/configuration?version={version}")
+    assert response.status == 400
+    assert response.body["error"]["text"].startswith("version must")
--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -66,7 +66,7 @@
         super().__init__()
         self._settings = settings
         random = Random()
-        self.loop = Loop().register(self)
+        self.loop = Loop(is_fault_tolerant=True).register(self)
         platform = PlatformClient(
             self.loop, settings.platform, settings.platform_timeout_ms
         )
--- a/src/galenaferry/framing/requests.py
+++ b/src/galenaferry/framing/requests.py
@@ -7,6 +7,9 @@
 from .messages import FramingError, Header, RequestHead
 
 MAX_HEADER_COUNT: Final = 100
+MAX_SEPARATOR_BYTES: Final = 1024
+"""Bytes of a head that do not count toward its limit: the method, the version and the
+separators of ``MAX_HEADER_COUNT`` headers."""
 SUPPORTED_VERSIONS: Final = ("1.0", "1.1")
 
 
@@ -73,11 +76,12 @@
             raise self._error from None
         except httptools.HttpParserError as error:
             raise FramingError(400, str(error)) from None
-        if not self._is_head_complete and not self._began_in_feed:
+        is_in_head = self._is_in_message and not self._is_head_complete
+        if is_in_head and not self._began_in_feed:
             # httptools reports a header only when it is complete. Counting the fed
             # bytes limits a header that never ends.
             self._partial_head_bytes += len(data)
-        if self._partial_head_bytes > self._limits.head_bytes:
+        if self._partial_head_bytes > self._limits.head_bytes + MAX_SEPARATOR_BYTES:
             raise FramingError(431, "the head of the request is too large")
 
     def on_message_begin(self) -> None:
--- a/src/galenaferry/framing/tests/test_framing.py
+++ b/src/galenaferry/framing/tests/test_framing.py
@@ -1,5 +1,7 @@
 """Framing rules of requests and responses, each with its expected result."""
 
+import itertools
+
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
@@ -173,3 +175,84 @@
     except FramingError as error:
         assert error.status == 502
     assert collector.completed <= 1
+
+
+def make_request(body, is_chunked, header_size):
+    head = b"POST /a HTTP/1.1\r\nHost: a\r\nX: " + b"x" * header_size + b"\r\n"
+    if is_chunked:
+        chunks = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+        return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def split_at(data, positions):
+    edges = [0, *sorted({position % len(data) for position in positions}), len(data)]
+    return [data[a:b] for a, b in itertools.pairwise(edges) if a < b]
+
+
+def test_a_large_body_that_ends_in_one_read_is_not_counted_as_head():
+    data = make_request(b"b" * 9_000, False, 10)
+    collector = read_requests(data[:100], data[100:])
+    assert (len(collector.heads), collector.completed) == (1, 1)
+
+
+@seed(5)
+@settings(max_examples=150, database=None, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 9_999), st.booleans(), st.integers(0, 900)),
+        min_size=1,
+        max_size=4,
+    ),
+    st.lists(st.integers(0, 50_000), max_size=12),
+)
+def test_valid_requests_are_the_same_however_they_are_split(requests, positions):
+    bodies = [b"b" * size for size, _, _ in requests]
+    data = b"".join(
+        make_request(body, is_chunked, header_size)
+        for body, (_, is_chunked, header_size) in zip(bodies, requests)
+    )
+    whole, parts = read_requests(data), read_requests(*split_at(data, positions))
+    assert parts.heads == whole.heads
+    assert parts.body == whole.body == b"".join(bodies)
+    assert parts.completed == whole.completed == len(requests)
+
+
+@pytest.mark.parametrize("step", [1, 7, 100, 5000])
+@pytest.mark.parametrize("excess", [0, 1])
+def test_the_limit_of_the_head_does_not_depend_on_the_reads(step, excess):
+    # "/a", Host, X, Content-Length and its value count toward the limit.
+    counted = len(b"/a" + b"Host" + b"a" + b"X" + b"Content-Length" + b"0")
+    data = make_request(b"", False, LIMITS.head_bytes - counted + excess)
+    parts = [data[start : start + step] for start in range(0, len(data), step)]
+    if excess:
+        with pytest.raises(FramingError) as caught:
+            read_requests(*parts)
+        assert caught.value.status == 431
+    else:
+        assert read_requests(*parts).completed == 1
+
+
+def test_a_head_without_an_end_is_refused():
+    with pytest.raises(FramingError) as caught:
+        read_requests(b"GET /a HTTP/1.1\r\nX: ", *[b"x" * 100] * 40)
+    assert caught.value.status == 431
+
+
+@seed(6)
+@settings(max_examples=100, database=None, deadline=None)
+@given(st.integers(0, 100_000), st.booleans(), st.lists(st.integers(0, 120_000)))
+def test_a_valid_response_is_the_same_however_it_is_split(size, is_chunked, positions):
+    body = b"b" * size
+    data = b"HTTP/1.1 200 OK\r\nX: y\r\n"
+    if is_chunked:
+        chunks = b"%x\r\n%s\r\n" % (size, body) if size else b""
+        data += b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+    else:
+        data += b"Content-Length: %d\r\n\r\n" % size + body
+    collector = Collector()
+    reader = ResponseReader(collector, False)
+    for part in split_at(data, positions):
+        reader.feed(part)
+    assert collector.body == body
+    assert (len(collector.heads), collector.completed) == (1, 1)
--- a/src/galenaferry/network/json_server.py
+++ b/src/galenaferry/network/json_server.py
@@ -13,6 +13,10 @@
 from circuits import BaseComponent, handler
 from circuits.web import Server
 
+from ..logs import logger
+
+log = logger("json_server")
+
 
 class JsonRequest(NamedTuple):
     """A request; ``body`` is the parsed JSON, None if there is no valid JSON.
@@ -65,7 +69,11 @@
     @handler("request", priority=10.0)
     def _on_request(self, event: Any, request: Any, response: Any) -> str:
         event.stop()
-        result = self._handle_request(request)
+        try:
+            result = self._handle_request(request)
+        except Exception as error:
+            log.error("a request failed", path=request.path, error=repr(error))
+            result = JsonResponse(500, {"error": "internal error"})
         response.status = result.status
         if isinstance(result.body, str):
             response.headers["Content-Type"] = "text/plain; charset=utf-8"
--- a/src/galenaferry/network/loop.py
+++ b/src/galenaferry/network/loop.py
@@ -7,6 +7,7 @@
 import heapq
 import select
 import socket
+import traceback
 from collections.abc import Callable
 from itertools import count
 from typing import Any, Final
@@ -14,6 +15,7 @@
 from circuits.core.pollers import EPoll
 
 from ..clock import Clock, Millis, SystemClock
+from ..logs import logger
 
 ReadinessCallback = Callable[[int], None]
 """Called with the epoll flags of a ready socket."""
@@ -23,9 +25,13 @@
 HANGUP_OR_ERROR: Final = select.EPOLLHUP | select.EPOLLERR
 MAX_POLLS_PER_TICK: Final = 32
 """Polls in a row before control returns to the event dispatch of circuits."""
+TRACE_FRAMES: Final = 4
+"""Innermost frames of a failed callback that are logged."""
 MAX_POLL_WAIT_MS: Final = 200.0
 """Maximum wait of one poll if no timer is due earlier."""
 
+log = logger("loop")
+
 
 class Timer:
     """Scheduled call of ``callback`` at ``due``, in monotonic milliseconds.
@@ -51,12 +57,24 @@
     ----------
     clock : Clock, optional
         Clock of the timers; the system clock by default.
+    is_fault_tolerant : bool
+        Whether the loop logs the exception of a callback and goes on with the others,
+        as a serving process must, instead of raising it.
+
+    Attributes
+    ----------
+    failed_callback_count : int
+        Number of callbacks that raised an exception.
     """
 
     channel = "loop"
 
-    def __init__(self, clock: Clock | None = None) -> None:
+    def __init__(
+        self, clock: Clock | None = None, is_fault_tolerant: bool = False
+    ) -> None:
         super().__init__(channel=self.channel)
+        self._is_fault_tolerant = is_fault_tolerant
+        self.failed_callback_count = 0
         self.clock: Clock = clock or SystemClock()
         self._callback_by_fd: dict[int, ReadinessCallback] = {}
         self._timers: list[tuple[Millis, int, Timer]] = []
@@ -134,11 +152,14 @@
         ready = self._poller.poll(wait / 1000.0)
         for fd, flags in ready:
             callback = callback_by_fd.get(fd)
-            if callback is not None:
-                callback(flags)
-            else:
-                # A socket of a circuits component, such as ``JsonServer``.
-                self._process(fd, flags)
+            try:
+                if callback is not None:
+                    callback(flags)
+                else:
+                    # A socket of a circuits component, such as ``JsonServer``.
+                    self._process(fd, flags)
+            except Exception as error:
+                self._on_callback_error(error)
         if self._soon_callbacks:
             self._run_soon()
         return len(ready)
@@ -146,7 +167,22 @@
     def _run_soon(self) -> None:
         callbacks, self._soon_callbacks = self._soon_callbacks, []
         for callback in callbacks:
-            callback()
+            try:
+                callback()
+            except Exception as error:
+                self._on_callback_error(error)
+
+    def _on_callback_error(self, error: Exception) -> None:
+        """Log the exception that a callback raised, or raise it."""
+        if not self._is_fault_tolerant:
+            raise error
+        self.failed_callback_count += 1
+        frames = traceback.extract_tb(error.__traceback__)[-TRACE_FRAMES:]
+        log.error(
+            "a callback failed; the process goes on",
+            error=repr(error),
+            trace=[f"{frame.name}:{frame.lineno}" for frame in frames],
+        )
 
     def _run_timers(self) -> Millis:
         """Run due timers and return the time until the next one in milliseconds."""
@@ -161,5 +197,8 @@
                 return min(due - now, MAX_POLL_WAIT_MS)
             heapq.heappop(timers)
             callback, timer.callback = timer.callback, None
-            callback()
+            try:
+                callback()
+            except Exception as error:
+                self._on_callback_error(error)
         return MAX_POLL_WAIT_MS
--- a/src/galenaferry/network/stream.py
+++ b/src/galenaferry/network/stream.py
@@ -154,6 +154,15 @@
             self._loop.modify(self._sock, flags)
 
     def _on_ready(self, flags: int) -> None:
+        try:
+            self._handle_ready(flags)
+        except Exception:
+            # The owner may have lost its place in the byte stream.
+            self.close()
+            self._loop.call_soon(lambda: self.owner.on_ended("ECONNABORTED"))
+            raise
+
+    def _handle_ready(self, flags: int) -> None:
         if self.is_connecting:
             self._finish_connect()
             return
--- a/src/galenaferry/node/tests/test_vm_register.py
+++ b/src/galenaferry/node/tests/test_vm_register.py
@@ -108,7 +108,15 @@
 
 
 def test_an_invalid_row_is_ignored():
-    bench = VmRegisterBench([TableRow("vm-8", b"{"), TableRow("vm-9", b"[1]"), row(2)])
+    invalid = [
+        b"{",
+        b"[1]",
+        b"\xff",
+        b'["nowhere", "a", "b"]',
+        b'["10.0.0.3", "a", "b"]',
+    ]
+    rows = [TableRow(f"vm-{n}", value) for n, value in enumerate(invalid, start=5)]
+    bench = VmRegisterBench([*rows, row(2)])
     assert bench.known_addresses() == {"10.0.0.2:7000"}
 
 
--- a/src/galenaferry/node/vm_register.py
+++ b/src/galenaferry/node/vm_register.py
@@ -14,6 +14,7 @@
 
 from ..clock import Millis
 from ..discovery.messages import HistoryLost, TableError, TableRow, TableUpdate
+from ..ini import parse_address
 from ..logs import logger
 from ..membership.messages import Member
 from ..membership.state import MemberTable
@@ -129,6 +130,7 @@
 def _parse_row(row: TableRow) -> Member | None:
     try:
         address, zone, region = json.loads(row.value or b"")
+        parse_address(str(address))
     except (ValueError, TypeError) as error:
         log.warning("invalid row in the table of VMs", row=row.key, error=str(error))
         return None
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+from functools import lru_cache
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
@@ -19,6 +20,7 @@
     Verdicts,
 )
 from ..health.posteriors import Outcome
+from ..ini import parse_address
 from ..membership.messages import Freshness, Heartbeat, Member
 from ..spreading.messages import LogName, Page, PagePull, Pull, Push
 
@@ -29,6 +31,7 @@
 MAX_AGE_MS: Final = 0xFFFF_FFFF
 """Longest age in milliseconds that is sent, the largest ``UInt32``; longer ages are
 sent as this one."""
+MAX_CHECKED_ADDRESSES: Final = 8_192
 COUNT_MASK: Final = 0xFFFF_FFFF
 """Totals are sent modulo 2**32."""
 
@@ -105,6 +108,7 @@
 
 
 def _read_member(source: Any) -> Member:
+    _check_address(source.address)
     return Member(
         address=source.address,
         incarnation=source.incarnation,
@@ -117,6 +121,12 @@
     )
 
 
+@lru_cache(maxsize=MAX_CHECKED_ADDRESSES)
+def _check_address(address: str) -> None:
+    """Raise ``ValueError`` unless the address is IP:PORT, so that sends to it work."""
+    parse_address(address)
+
+
 def _fill_body(body: Any, message: Message) -> None:
     match message:
         case Heartbeat():
--- a/src/galenaferry/peers/tests/test_codec.py
+++ b/src/galenaferry/peers/tests/test_codec.py
@@ -3,7 +3,17 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from galenaferry.health.messages import Counts, HealthState, Report, Verdict, Verdicts
+from galenaferry.discovery.messages import StoreVersion, TableNotice, TableRow
+from galenaferry.health.messages import (
+    Counts,
+    HealthState,
+    InstanceOutcome,
+    Outcomes,
+    Report,
+    Verdict,
+    Verdicts,
+)
+from galenaferry.health.posteriors import Outcome
 from galenaferry.membership.messages import Freshness, Heartbeat, Member
 from galenaferry.peers.codec import (
     MAC_BYTES,
@@ -18,13 +28,17 @@
 KEYS = PeerKeys(b"a key of the fleet")
 ME = Member("10.0.0.1:7000", 1764806400000, 7, "north", "andes", False, 3)
 MESSAGES = [
-    Heartbeat(4, "digest", Freshness(12), 9, (ME, ME._replace(is_leaving=True))),
+    Heartbeat(4, "digest", Freshness(12), 9, (ME, ME._replace(is_leaving=True)), 8),
     Push(LogName.CONFIGURATION, ("one", "two")),
     Pull(LogName.VM_LIST, 17),
     PagePull(LogName.VM_LIST, 17, 6),
     Page(LogName.CONFIGURATION, 17, "d", 6, 60, ("row", "row")),
     Report((Counts(2**63, 5, 1, 2),)),
     Verdicts((Verdict(9, HealthState.PROBATION, 20, 0.5),)),
+    Outcomes((InstanceOutcome(2**63, Outcome.LEAVING),)),
+    TableNotice(
+        StoreVersion(1, 2**43), StoreVersion(2, 3), (TableRow("i-1", None),), 5.0
+    ),
 ]
 
 
@@ -46,7 +60,7 @@
 
 @seed(5)
 @settings(max_examples=200, deadline=None, database=None)
-@given(st.integers(0, 6), st.integers(0, 10_000), st.integers(1, 255))
+@given(st.integers(0, len(MESSAGES) - 1), st.integers(0, 10_000), st.integers(1, 255))
 def test_datagram_with_a_changed_byte_is_refused(index, position, difference):
     data = bytearray(encode(Datagram(ME, MESSAGES[index]), KEYS))
     data[position % len(data)] ^= difference
@@ -60,3 +74,12 @@
     result = decode(_compute_mac(payload, KEYS.current) + payload, KEYS)
     assert result.is_ok() or result.err()
     assert decode(payload[:MAC_BYTES], KEYS).is_err()
+
+
+def test_a_member_whose_address_can_not_be_sent_to_is_refused():
+    # Each later send to such a member would fail.
+    for address in ("", "nowhere", "10.0.0.1", "10.0.0.1:x", "10.0.0.1:70000"):
+        bad = ME._replace(address=address)
+        heartbeat = Heartbeat(4, "", Freshness(0), 9, (bad,))
+        assert decode(encode(Datagram(ME, heartbeat), KEYS), KEYS).is_err()
+        assert decode(encode(Datagram(bad, MESSAGES[2]), KEYS), KEYS).is_err()
--- a/src/galenaferry/platform/__main__.py
+++ b/src/galenaferry/platform/__main__.py
@@ -45,7 +45,7 @@
     set_up_logs(True, sys.stdout)
     settings = result.ok_value
     peer_key = os.environ.get(PEER_KEY_VARIABLE, "").encode()
-    loop = Loop()
+    loop = Loop(is_fault_tolerant=True)
     try:
         adapter = make_adapter(settings, loop)
         node = Node(
