Answer requests that a planned stop finds unread or just accepted

Cause: closing the listener reset the connections in the kernel's accept queue, idle connections were closed with a request in their receive buffer, and a connection accepted just before the exit had no time for its first request. Ruled out: a longer wait before the listener closes; the queue can fill at any moment. Change: pending connections are accepted and pending bytes read before anything is closed; a new connection keeps its time for the first request, and an unfinished head is waited for.

--- a/src/galenaferry/network/listener.py
+++ b/src/galenaferry/network/listener.py
@@ -52,7 +52,13 @@
         return int(self._sock.getsockname()[1])
 
     def close(self) -> None:
-        """Stop listening; accepted connections stay open."""
+        """Stop listening; accepted connections stay open.
+
+        Connections that wait in the kernel's queue are accepted first, since closing
+        the socket would reset them.
+        """
+        while self.is_open and self._accept_next():
+            pass
         if self.is_open:
             self.is_open = False
             self._loop.unwatch(self._sock)
@@ -60,12 +66,16 @@
 
     def _on_ready(self, flags: int) -> None:
         for _ in range(MAX_ACCEPTS_PER_WAKEUP):
-            if not self.is_open:
-                return
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
+            if not (self.is_open and self._accept_next()):
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._on_accepted(sock)
+
+    def _accept_next(self) -> bool:
+        """Accept one connection; return False if none waits."""
+        try:
+            sock, _ = self._sock.accept()
+        except OSError:
+            return False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._on_accepted(sock)
+        return True
--- a/src/galenaferry/network/stream.py
+++ b/src/galenaferry/network/stream.py
@@ -116,6 +116,11 @@
         if not self.is_connecting:
             self._set_flags(self._flags | READABLE)
 
+    def receive_pending(self) -> None:
+        """Receive bytes that the kernel holds already, without waiting for a poll."""
+        if self.is_open and not self.is_connecting and self._flags & READABLE:
+            self._receive()
+
     def close(self) -> None:
         """Close at once; buffered bytes are dropped and no callback follows."""
         if not self.is_open:
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -85,6 +85,22 @@
         is_lingering = self._stream.is_open and self._stream.owner is not self
         return is_lingering and self._answered_at > since
 
+    def is_sending_request(self, since: Millis) -> bool:
+        """Whether a request is on its way, or its head is not complete.
+
+        A caller that connected after ``since``, in monotonic milliseconds, and has sent
+        nothing yet is about to send its first request.
+        """
+        if self._stream.owner is not self:
+            return False
+        is_new = not self._stream.bytes_received and self.last_progress_at > since
+        return is_new or not self._reader.is_between_requests
+
+    def receive_pending(self) -> None:
+        """Read a request that has arrived but was not read yet."""
+        if self._stream.owner is self:
+            self._stream.receive_pending()
+
     @property
     def has_exchange(self) -> bool:
         """Whether a request has not been answered completely."""
--- a/src/galenaferry/requests/component.py
+++ b/src/galenaferry/requests/component.py
@@ -64,17 +64,25 @@
         """
         since = self.context.loop.clock.now() - LINGER_TIMEOUT_MS
         unfinished = sum(
-            1 for caller in self._callers if caller.is_awaiting_answer(since)
+            1
+            for caller in self._callers
+            if caller.is_awaiting_answer(since) or caller.is_sending_request(since)
         )
         return unfinished + len(self.context.detached)
 
     def stop_accepting(self) -> None:
-        """Close the listening socket and idle connections."""
+        """Close the listening socket and idle connections.
+
+        Requests that have arrived on them are read first. A connection that was just
+        accepted stays open for its first request.
+        """
         self._listener.close()
         since = self.context.loop.clock.now() - LINGER_TIMEOUT_MS
         for caller in list(self._callers):
-            if caller.is_idle and not caller.is_awaiting_answer(since):
-                caller.close()
+            caller.receive_pending()
+            if caller.is_sending_request(since) or caller.is_awaiting_answer(since):
+                continue
+            caller.close()
 
     def _accept(self, sock: socket.socket) -> None:
         self._callers.add(CallerConnection(self.context, sock, self._remove_caller))
--- a/src/galenaferry/requests/tests/test_unfinished.py
+++ b/src/galenaferry/requests/tests/test_unfinished.py
@@ -61,3 +61,53 @@
     assert bench.component.unfinished_count == 0
     bench.component.stop_accepting()
     bench.run(lambda: caller.is_closed, caller)
+
+
+def test_requests_in_the_queues_of_the_kernel_are_answered():
+    # The callers connected and sent, but the process was not scheduled since.
+    bench = Bench(modes=[healthy()])
+    bench.context.is_stopping = True
+    callers = [bench.caller().post(f"/bookings/{n}") for n in range(40)]
+    bench.component.stop_accepting()
+    for caller in callers:
+        assert caller.answers()[0][0] == 200
+
+
+def test_a_request_unread_on_a_kept_connection_is_answered():
+    bench = Bench(modes=[healthy()])
+    caller = bench.caller().get("/bookings/one")
+    caller.answers()
+    caller.post("/bookings/two")
+    bench.context.is_stopping = True
+    bench.component.stop_accepting()
+    answers = caller.answers(2)
+    assert [status for status, _, _ in answers] == [200, 200]
+    assert answers[1][1]["connection"] == "close"
+
+
+def test_a_stop_waits_for_the_first_request_of_a_new_connection():
+    bench = Bench(modes=[healthy()])
+    caller = bench.caller()
+    bench.component.stop_accepting()
+    assert bench.component.unfinished_count == 1
+    bench.run_for(50.0, caller)
+    bench.context.is_stopping = True
+    assert caller.get("/bookings/one").answers()[0][0] == 200
+
+
+def test_a_stop_waits_for_the_rest_of_a_request():
+    bench = Bench(modes=[healthy()])
+    bench.context.is_stopping = True
+    caller = bench.caller().send(b"GET /bookings/one HT")
+    bench.run_for(20.0, caller)
+    bench.component.stop_accepting()
+    assert bench.component.unfinished_count == 1
+    caller.send(b"TP/1.1\r\nHost: a\r\n\r\n")
+    assert caller.answers()[0][0] == 200
+
+
+def test_a_stop_waits_only_the_linger_timeout_for_a_first_request():
+    bench = Bench(modes=[healthy()])
+    caller = bench.caller()
+    bench.run_for(LINGER_TIMEOUT_MS + 10.0, caller)
+    assert bench.component.unfinished_count == 0
