Read the tables again after a pause before new requests are sent

Change: the loop tells when more than a second passed between two polls; the node then holds new requests for at most 150 ms, replaces its pending reads and goes on.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -148,6 +148,11 @@
             self._loop.every(READER_CHECK_INTERVAL_MS, self._update_reader_role)
             self._loop.every(ANNOUNCE_INTERVAL_MS, self._broadcast_version)
 
+    def refresh(self) -> None:
+        """Replace a pending read, whose connection may be dead after a pause."""
+        if self._is_reading:
+            self._read()
+
     def on_peer_version(self, address: str, version: StoreVersion) -> None:
         """Fetch from another VM if its version stays newer than this VM's."""
         if version <= self.version:
--- a/src/galenaferry/network/loop.py
+++ b/src/galenaferry/network/loop.py
@@ -29,6 +29,9 @@
 """Innermost frames of a failed callback that are logged."""
 MAX_POLL_WAIT_MS: Final = 200.0
 """Maximum wait of one poll if no timer is due earlier."""
+PAUSE_THRESHOLD_MS: Final = 1_000.0
+"""Time between two polls above which the process was paused. One wait and the
+callbacks of one poll take much less, also on a slow VM."""
 
 log = logger("loop")
 
@@ -65,6 +68,9 @@
     ----------
     failed_callback_count : int
         Number of callbacks that raised an exception.
+    on_paused : callable or None
+        Called with the duration in milliseconds when the process was paused between
+        two polls, before any other callback.
     """
 
     channel = "loop"
@@ -75,6 +81,8 @@
         super().__init__(channel=self.channel)
         self._is_fault_tolerant = is_fault_tolerant
         self.failed_callback_count = 0
+        self.on_paused: Callable[[Millis], None] | None = None
+        self._polled_at: Millis | None = None
         self.clock: Clock = clock or SystemClock()
         self._callback_by_fd: dict[int, ReadinessCallback] = {}
         self._timers: list[tuple[Millis, int, Timer]] = []
@@ -143,6 +151,7 @@
         int
             Number of sockets that were ready.
         """
+        self._check_pause()
         wait = self._run_timers()
         if 0 <= max_wait < wait:
             wait = max_wait
@@ -164,6 +173,14 @@
             self._run_soon()
         return len(ready)
 
+    def _check_pause(self) -> None:
+        now = self.clock.now()
+        previous, self._polled_at = self._polled_at, now
+        if self.on_paused is None or previous is None:
+            return
+        if now - previous > PAUSE_THRESHOLD_MS:
+            self.on_paused(now - previous)
+
     def _run_soon(self) -> None:
         callbacks, self._soon_callbacks = self._soon_callbacks, []
         for callback in callbacks:
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -47,6 +47,7 @@
 )
 from .instances import InstanceUpdater
 from .metrics import Gauges, NodeMetrics
+from .pauses import PauseGuard
 from .reload import ReadSettings, SettingsReloader
 from .settings import NodeSettings
 from .status import StatusInterface
@@ -223,6 +224,12 @@
             loop, adapter.store, adapter.tables.vms, settings.name, self.table, random
         )
         self._register.begin(settings.is_first_start)
+        PauseGuard(
+            loop,
+            self.context,
+            (self.configuration, self.instances),
+            lambda: self.context.is_stopping,
+        )
         self.configuration.begin()
         self.instances.begin()
 
--- a/src/galenaferry/requests/startup.py
+++ b/src/galenaferry/requests/startup.py
@@ -1,4 +1,4 @@
-"""Requests that arrive while a VM still reads its routes and instances."""
+"""Requests that arrive while a VM reads its routes and instances."""
 
 from collections.abc import Callable
 from typing import Final
@@ -18,11 +18,13 @@
     Parameters
     ----------
     loop : Loop
+    hold : float
+        Longest time for which requests are held, in milliseconds.
     """
 
-    def __init__(self, loop: Loop) -> None:
+    def __init__(self, loop: Loop, hold: Millis = STARTUP_HOLD_MS) -> None:
         self._pending: list[Callable[[], None]] | None = []
-        loop.after(STARTUP_HOLD_MS, self.release)
+        loop.after(hold, self.release)
 
     def enqueue(self, start: Callable[[], None]) -> bool:
         """Delay ``start`` until the release; False if that has happened."""
