Let a few VMs of each zone read both tables, and relay outcomes between zones

Each VM read the configuration by itself, all VMs read both tables at the start, six readers told every VM of the region, each failure went to every VM in a datagram of its own encoding. Change: two readers a zone (six a region at least) for both tables, which tell their own zone only; news of the configuration is read from the store once, or from a peer if the store does not answer; VMs of a first start wait a second for each other; three quarters of the heartbeats stay in the zone; outcomes go to the own zone and to two relays of each other zone, encoded once, applied once by their id.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -45,6 +45,9 @@
 MAX_NOTICE_ROWS: Final = 10
 """Largest number of rows in a notice; at about 250 bytes each they fill two
 packets."""
+NEWS_READ_TIMEOUT_MS: Final = 700.0
+"""Time for a read of changes of which a notice told; a slow store responds in 240 ms.
+Afterwards the next notice, a second later at most, leads to a fetch from a peer."""
 PEER_FETCH_DELAY_MS: Final = 250.0
 """Time in which the VM's own read should return changes that another VM has."""
 
@@ -69,11 +72,19 @@
         which further changes accumulate.
     is_shared : bool
         Whether only some VMs read the table and broadcast changes to the others.
+    is_news_read_from_store : bool
+        Whether a VM that hears of changes without their rows reads them from the store,
+        as suits a table with large rows, and not from the VM that told it.
+    startup_delay : float
+        Time in milliseconds after the start in which the VM does not read a shared
+        table itself, as readers tell of it.
     """
 
     table: str
     coalescing_delay: Millis
     is_shared: bool = False
+    is_news_read_from_store: bool = False
+    startup_delay: Millis = 0.0
 
 
 class TableFollower:
@@ -113,6 +124,9 @@
         self._is_designated_reader = is_designated_reader
         self._broadcast = broadcast
         self._reader_seen_at: Millis = -math.inf
+        self._starts_reading_at: Millis = -math.inf
+        self._news_read_until: Millis = -math.inf
+        self._has_news_read_failed = False
         self._is_reading = False
         self._history = TableHistory()
         self._loop = loop
@@ -143,7 +157,13 @@
 
     def begin(self) -> None:
         """Start reading the table, and the timers of a shared one."""
-        self._read()
+        delay = self._settings.startup_delay
+        if delay:
+            # A VM that is no reader then waits for the first notice.
+            self._reader_seen_at = self._loop.clock.now() + delay
+            self._starts_reading_at = self._reader_seen_at
+        else:
+            self._read()
         if self._settings.is_shared:
             self._loop.every(READER_CHECK_INTERVAL_MS, self._update_reader_role)
             self._loop.every(ANNOUNCE_INTERVAL_MS, self._broadcast_version)
@@ -185,7 +205,17 @@
         ):
             self._apply(TableUpdate(notice.version, notice.rows, is_snapshot=False))
         elif not self._is_reading:
-            self._fetch_if_behind(address, notice.version)
+            self._catch_up(address, notice.version)
+
+    def _catch_up(self, address: str, version: StoreVersion) -> None:
+        """Read news from the store, or from a peer if that has just failed."""
+        if self._settings.is_news_read_from_store and not self._has_news_read_failed:
+            self._news_read_until = self._loop.clock.now() + NEWS_READ_TIMEOUT_MS
+            self._has_news_read_failed = True
+            self._read()
+        else:
+            self._has_news_read_failed = False
+            self._fetch_if_behind(address, version)
 
     def update_since(self, after: StoreVersion) -> TableUpdate:
         """Return the changes after a version, the whole table if that is too old."""
@@ -198,19 +228,32 @@
 
     def _update_reader_role(self) -> None:
         """Start or stop reading a shared table, as ``needs_own_read`` decides."""
+        needs_read = self._needs_own_read()
+        if needs_read and not self._is_reading:
+            self._read()
+        elif (
+            self._is_reading
+            and not needs_read
+            and self.is_loaded
+            and self._loop.clock.now() >= self._news_read_until
+        ):
+            self._stop_reading()
+
+    def _needs_own_read(self) -> bool:
         now = self._loop.clock.now()
-        needs_read = needs_own_read(
+        if now < self._starts_reading_at:
+            return False
+        return not self._settings.is_shared or needs_own_read(
             self._is_designated_reader(), self._reader_seen_at, now
         )
-        if needs_read and not self._is_reading:
-            self._read()
-        elif self._is_reading and not needs_read and self.is_loaded:
-            self._is_reading = False
-            self.is_store_unavailable = False
-            # Ignore the result of the pending read.
-            self._read_number += 1
-            if self._timer is not None:
-                self._timer.cancel()
+
+    def _stop_reading(self) -> None:
+        self._is_reading = False
+        self.is_store_unavailable = False
+        # Ignore the result of the pending read.
+        self._read_number += 1
+        if self._timer is not None:
+            self._timer.cancel()
 
     def _broadcast_version(self) -> None:
         if (
@@ -227,7 +270,13 @@
         now = self._loop.clock.now()
         failed_at = self.failed_at
         failed_ago = NEVER_FAILED_MS if failed_at is None else now - failed_at
-        return TableNotice(self.last_change_version, version, rows, failed_ago)
+        return TableNotice(
+            self.last_change_version,
+            version,
+            rows,
+            failed_ago,
+            self._settings.table,
+        )
 
     def _fetch_if_behind(self, address: str, version: StoreVersion) -> None:
         if self.version >= version or self._is_fetching:
@@ -244,6 +293,8 @@
                 table=self._settings.table,
                 error=result.err_value.text,
             )
+            if self._settings.is_shared and not self._is_reading:
+                self._read()
             return
         update = result.ok_value
         if update.version <= self.version:
@@ -300,6 +351,12 @@
                 # The notice starts at ``last_change_version``, which ``_apply`` sets.
                 self._broadcast_update(update)
                 self._apply(update)
+                self._has_news_read_failed = False
+                self._news_read_until = -math.inf
+                if not self._needs_own_read():
+                    # It was read once for news of it.
+                    self._stop_reading()
+                    return
                 self._schedule_read(
                     self._settings.coalescing_delay if update.rows else 0.0
                 )
--- a/src/galenaferry/discovery/messages.py
+++ b/src/galenaferry/discovery/messages.py
@@ -78,12 +78,16 @@
     failed_ago : float
         Time since the last failed read from the store, by the sender or, as far as it
         knows from notices, by another reader; in milliseconds.
+    table : str
+        Name of the table; empty in notices of VMs of an earlier version, which share
+        only the table of the instances.
     """
 
     after: StoreVersion
     version: StoreVersion
     rows: tuple[TableRow, ...]
     failed_ago: Millis = NEVER_FAILED_MS
+    table: str = ""
 
 
 class HistoryLost(NamedTuple):
--- a/src/galenaferry/discovery/tests/builders.py
+++ b/src/galenaferry/discovery/tests/builders.py
@@ -50,7 +50,7 @@
 class FollowerBench:
     """A table follower with a fake clock, store and peers."""
 
-    def __init__(self, coalescing_delay=0.0, is_shared=False, seed=1):
+    def __init__(self, coalescing_delay=0.0, is_shared=False, seed=1, **settings):
         self.clock = FakeClock(1000.0)
         self.loop = Loop(self.clock)
         self.source = FakeSource()
@@ -61,7 +61,7 @@
         self.is_designated_reader = True
         self.follower = TableFollower(
             self.loop,
-            FollowerSettings("op", coalescing_delay, is_shared),
+            FollowerSettings("op", coalescing_delay, is_shared, **settings),
             self.source,
             lambda address, table, after, done: self.peer_fetches.append(
                 (address, done)
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -1,14 +1,17 @@
 """A shared table, which a few VMs read and broadcast to the others."""
 
+from collections import Counter
 from random import Random
 
-from result import Ok
+import pytest
+from result import Err, Ok
 
 from galenaferry.discovery.history import TableHistory
-from galenaferry.discovery.messages import TableNotice, TableRow
+from galenaferry.discovery.messages import TableError, TableNotice, TableRow
 from galenaferry.discovery.readers import (
+    MIN_READERS,
     READER_TIMEOUT_MS,
-    READERS_PER_TABLE,
+    READERS_PER_ZONE,
     is_reader,
 )
 from galenaferry.discovery.tests.builders import FollowerBench, at, table_update
@@ -18,13 +21,16 @@
 TWO = (TableRow("config", b"two"),)
 
 
-def member(number, is_down=False):
-    return Member(f"10.0.0.{number}:7000", 1, 1, "north", "r", False, 1, is_down)
+ZONES = ("north", "middle", "south", "east", "west")
 
 
-def make_non_reader():
+def member(number, zone="north", is_down=False):
+    return Member(f"10.0.0.{number}:7000", 1, 1, zone, "r", False, 1, is_down)
+
+
+def make_non_reader(**settings):
     """Return a VM that has read the table once and now gets a reader's notices."""
-    bench = FollowerBench(is_shared=True)
+    bench = FollowerBench(is_shared=True, **settings)
     bench.is_designated_reader = False
     bench.source.answer(table_update(10, True, config=b"one"))
     deliver_notices(bench, 500.0)
@@ -39,18 +45,40 @@
         bench.run_for(100.0)
 
 
-def test_only_a_few_vms_are_readers():
-    fleet = [member(number) for number in range(90)]
-    readers = [one for one in fleet if is_reader(one, fleet, "servers")]
-    assert len(readers) == READERS_PER_TABLE
+def readers_of(fleet):
+    return [one for one in fleet if is_reader(one, fleet)]
+
+
+def make_fleet(size, zone_count):
+    return [member(number, ZONES[number % zone_count]) for number in range(size)]
+
+
+@pytest.mark.parametrize("zone_count", [1, 2, 3, 4, 5])
+def test_only_a_few_vms_of_each_zone_are_readers(zone_count):
+    fleet = make_fleet(90, zone_count)
+    by_zone = Counter(one.zone for one in readers_of(fleet))
+    assert sum(by_zone.values()) >= MIN_READERS
+    assert set(by_zone) == set(ZONES[:zone_count])
+    assert set(by_zone.values()) == {
+        max(READERS_PER_ZONE, -(-MIN_READERS // zone_count))
+    }
 
 
 def test_readers_with_failing_reads_are_replaced():
-    fleet = [member(number) for number in range(90)]
-    down = {one.address for one in fleet if is_reader(one, fleet, "servers")}
+    fleet = make_fleet(90, 5)
+    down = {one.address for one in readers_of(fleet)}
     members = [one._replace(is_platform_down=one.address in down) for one in fleet]
-    readers = {one.address for one in members if is_reader(one, members, "servers")}
-    assert len(readers - down) == READERS_PER_TABLE
+    readers = {one.address for one in readers_of(members)}
+    assert len(readers - down) == 5 * READERS_PER_ZONE
+
+
+def test_readers_of_a_zone_do_not_change_with_vms_of_other_zones():
+    fleet = make_fleet(90, 5)
+    north = [one for one in readers_of(fleet) if one.zone == "north"]
+    fewer = [
+        one for one in fleet if one.zone != "south" or one.address.endswith("2:7000")
+    ]
+    assert [one for one in readers_of(fewer) if one.zone == "north"] == north
 
 
 def test_vm_that_gets_notices_does_not_read_the_store():
@@ -179,3 +207,74 @@
     assert history.keys_changed_after(at(10)) == ["b", "a"]
     assert history.keys_changed_after(at(12)) == ["a"]
     assert history.keys_changed_after(at(14)) == []
+
+
+def make_news_reader():
+    bench = make_non_reader(is_news_read_from_store=True)
+    bench.source.calls.clear()
+    return bench
+
+
+def test_news_of_a_table_with_large_rows_is_read_from_the_store_once():
+    bench = make_news_reader()
+    bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(12), at(12), ()))
+    bench.follower.on_notice("10.0.0.2:7000", TableNotice(at(12), at(12), ()))
+    assert [call[0] for call in bench.source.calls] == ["changes"]
+    bench.source.answer(table_update(12, config=b"two"))
+    assert bench.changes[-1] == TWO
+    deliver_notices(bench, 5_000.0, version=12)
+    assert len(bench.source.calls) == 1
+    assert bench.peer_fetches == []
+
+
+def test_a_slow_read_of_news_is_not_given_up():
+    bench = make_news_reader()
+    bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(12), at(12), ()))
+    deliver_notices(bench, 500.0, version=12)
+    bench.source.answer(table_update(12, config=b"two"))
+    assert bench.follower.version == at(12)
+    assert len(bench.source.calls) == 1
+
+
+def test_news_comes_from_a_peer_if_the_store_does_not_answer():
+    # The connection may be silent, or the store may turn this VM away.
+    bench = make_news_reader()
+    bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(12), at(12), ()))
+    deliver_notices(bench, 1_300.0, version=12)
+    _address, done = bench.peer_fetches[0]
+    done(Ok(table_update(12, config=b"two")))
+    assert bench.changes[-1] == TWO
+
+
+def test_news_comes_from_the_store_if_a_peer_does_not_answer():
+    bench = make_non_reader()
+    bench.source.calls.clear()
+    bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(12), at(12), ()))
+    bench.peer_fetches[0][1](Err(TableError("no answer within 1000 ms")))
+    bench.source.answer(table_update(12, config=b"two"))
+    assert bench.changes[-1] == TWO
+
+
+def test_a_vm_of_a_first_start_waits_for_readers():
+    bench = FollowerBench(is_shared=True, startup_delay=1_000.0)
+    bench.is_designated_reader = False
+    bench.run_for(1_500.0)
+    assert bench.source.calls == []
+    bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(9), at(9), ()))
+    bench.peer_fetches[0][1](Ok(table_update(9, True, config=b"one")))
+    assert bench.changes == [ONE]
+
+
+def test_a_vm_of_a_first_start_reads_if_no_reader_tells():
+    bench = FollowerBench(is_shared=True, startup_delay=1_000.0)
+    bench.is_designated_reader = False
+    bench.run_for(1_000.0 + READER_TIMEOUT_MS + 300.0)
+    assert len(bench.source.calls) == 1
+
+
+def test_a_reader_of_a_first_start_reads_after_the_delay():
+    bench = FollowerBench(is_shared=True, startup_delay=1_000.0)
+    bench.run_for(900.0)
+    assert bench.source.calls == []
+    bench.run_for(400.0)
+    assert len(bench.source.calls) == 1
--- a/src/galenaferry/health/messages.py
+++ b/src/galenaferry/health/messages.py
@@ -67,9 +67,21 @@
 
 
 class Outcomes(NamedTuple):
-    """Outcomes that one VM saw and that other VMs should apply to their posteriors."""
+    """Outcomes that one VM saw and that other VMs should apply to their posteriors.
+
+    Attributes
+    ----------
+    instance_outcomes : tuple of InstanceOutcome
+    id : int
+        Random number that identifies the message when it arrives more than once, 0 if
+        it has none.
+    is_relay_requested : bool
+        Whether the receiver should send it to the other VMs of its zone.
+    """
 
     instance_outcomes: tuple[InstanceOutcome, ...]
+    id: int = 0
+    is_relay_requested: bool = False
 
 
 def instance_key(identity: str) -> int:
--- a/src/galenaferry/membership/state.py
+++ b/src/galenaferry/membership/state.py
@@ -26,12 +26,15 @@
 
     A heartbeat carries ``sample_size`` members, so the interval between two
     updates of one member grows with the fleet. The timeout is therefore
-    ``timeout`` plus ``timeout_per_member`` for each known member.
+    ``timeout`` plus ``timeout_per_member`` for each known member. At least the share
+    ``own_zone_share`` of the heartbeats goes to VMs of the sender's zone, as bytes
+    between zones are expensive.
     """
 
     timeout: Millis = LIVENESS_TIMEOUT_MS
     timeout_per_member: Millis = 0.0
     sample_size: int = SAMPLE_SIZE
+    own_zone_share: float = 0.0
 
 
 DEFAULT_LIVENESS: Final = Liveness()
@@ -181,19 +184,27 @@
         return list(self._member_by_address.values())
 
     def gossip_targets(self, count: int, now: Millis) -> list[str]:
-        """Return addresses of up to ``count`` random live members and one other.
+        """Return addresses of up to ``count`` random live members and one more.
 
-        The other one is a member that is not live, if there is any, so that the
+        The additional one is a member that is not live, if there is any, so that the
         two sides of a healed partition find each other again.
         """
-        live = [m.address for m in self.live(now) if m.address != self.me.address]
+        others = [m for m in self.live(now) if m.address != self.me.address]
+        own_zone = [m.address for m in others if m.zone == self.me.zone]
+        live = [m.address for m in others]
         live_addresses = set(live)
         not_live = [
             address
             for address in self._member_by_address
             if address not in live_addresses
         ]
-        chosen = self._random.sample(live, min(count, len(live)))
+        chosen: list[str] = []
+        for _ in range(count):
+            is_in_zone = self._random.random() < self._liveness.own_zone_share
+            pool = own_zone if is_in_zone and own_zone else live
+            left = [address for address in pool if address not in chosen]
+            if left:
+                chosen.append(self._random.choice(left))
         if not_live:
             chosen.append(self._random.choice(not_live))
         return chosen
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -40,6 +40,7 @@
 from ..routing.hosts import HostRouteTable
 from ..spreading.messages import GossipMessage
 from .adapter import Adapter
+from .broadcasts import Broadcasts
 from .configuration import (
     IN_FORCE_TABLE,
     ConfigurationUpdater,
@@ -54,13 +55,18 @@
 from .vm_register import VmRegister
 
 HEARTBEAT_SETTINGS: Final = HeartbeatSettings(interval=1_000.0, fanout=2)
-LIVENESS: Final = Liveness(6_000.0, timeout_per_member=200.0, sample_size=16)
+LIVENESS: Final = Liveness(
+    6_000.0, timeout_per_member=200.0, sample_size=16, own_zone_share=0.75
+)
 """A member is live for 6 s, plus 200 ms per known member, after its latest update.
 
 16 members fill a datagram. With 200 ms per member, fleets of 40 and of 91 VMs keep
 complete views of their members (``membership/tests/test_heartbeats.py``)."""
 CAPACITY_SHARE_INTERVAL_MS: Final = 500.0
 """Interval at which slots and connections are divided among the live VMs."""
+FIRST_START_DELAY_MS: Final = 1_000.0
+"""Time after the first start of the fleet in which VMs find each other, so that a few
+of them read the tables for all."""
 CONFIGURATION_COALESCING_MS: Final = 100.0
 INSTANCES_COALESCING_MS: Final = 400.0
 """Changes within this time are read in one call. 400 ms is a fifth of the 2 s after
@@ -120,20 +126,30 @@
         self.peers = PeersComponent(
             loop, settings.peers, PeerKeys(peer_key), lambda: self.table.me, self
         ).register(self)
+        self._broadcasts = Broadcasts(self.table, self.peers, loop.clock, random)
         self.placement = Placement(
             loop,
             _placement_settings(settings),
             random,
-            self._broadcast,
+            self._broadcasts.send_outcomes,
         )
         self.routes = HostRouteTable(int(settings.budget.ratio * 100.0), random)
+        startup_delay = FIRST_START_DELAY_MS if settings.is_first_start else 0.0
         self.configuration = TableFollower(
             loop,
-            FollowerSettings(adapter.tables.configuration, CONFIGURATION_COALESCING_MS),
+            FollowerSettings(
+                adapter.tables.configuration,
+                CONFIGURATION_COALESCING_MS,
+                is_shared=True,
+                is_news_read_from_store=True,
+                startup_delay=startup_delay,
+            ),
             adapter.store,
             self._fetch_from_peer,
             random,
             self._on_configuration_rows,
+            self._is_designated_reader,
+            self._broadcasts.send_notice,
             on_restored=lambda: self._register.on_restored(),
         )
         self._configuration_updater = ConfigurationUpdater(adapter, self.routes)
@@ -148,13 +164,18 @@
         )
         self.instances = TableFollower(
             loop,
-            FollowerSettings(adapter.tables.instances, INSTANCES_COALESCING_MS, True),
+            FollowerSettings(
+                adapter.tables.instances,
+                INSTANCES_COALESCING_MS,
+                is_shared=True,
+                startup_delay=startup_delay,
+            ),
             adapter.store,
             self._fetch_from_peer,
             random,
             instance_updater.on_change,
             self._is_designated_reader,
-            self._broadcast,
+            self._broadcasts.send_notice,
         )
         self._heartbeats = Heartbeats(
             loop,
@@ -281,7 +302,8 @@
     def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
         """Handle outcomes of attempts that another VM observed."""
         self.table.merge(sender, self.loop.clock.now())
-        self.placement.on_outcomes(sender.address, outcomes)
+        if self._broadcasts.accept_outcomes(outcomes):
+            self.placement.on_outcomes(sender.address, outcomes)
 
     def on_gossip(self, sender: Member, message: GossipMessage) -> None:
         """Do nothing: on this node the store orders the configuration changes."""
@@ -308,13 +330,15 @@
         return FleetBudgets(self._settings.budget, self.loop.clock, self._fleet_size)
 
     def on_table_notice(self, sender: Member, notice: TableNotice) -> None:
-        """Handle changes of the instances table that another VM has read."""
+        """Handle changes of a table that another VM has read."""
         self.table.merge(sender, self.loop.clock.now())
-        self.instances.on_notice(sender.address, notice)
+        is_configuration = notice.table == self._adapter.tables.configuration
+        follower = self.configuration if is_configuration else self.instances
+        follower.on_notice(sender.address, notice)
 
     def _is_designated_reader(self) -> bool:
         live = self.table.live_in_region(self.loop.clock.now())
-        return is_reader(self.table.me, live, self._adapter.tables.instances)
+        return is_reader(self.table.me, live)
 
     def _fetch_from_peer(
         self, address: str, table: str, after: StoreVersion, done: Any
@@ -343,10 +367,6 @@
         ):
             self.loop.call_soon(startup_queue.release)
 
-    def _broadcast(self, message: Outcomes | TableNotice) -> None:
-        for member in self.table.recipients(self.loop.clock.now()):
-            self.peers.send(member.address, message)
-
     def _compose_heartbeat(self, sample: tuple[Member, ...]) -> Heartbeat:
         version = self.configuration.last_change_version.encode()
         is_store_unavailable = (
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -152,16 +152,27 @@
             _fill_verdicts(body.init("verdicts", len(verdicts)), verdicts)
         case TableNotice():
             _fill_notice(body.init("tableNotice"), message)
-        case Outcomes(outcomes):
-            target = body.init("outcomes", len(outcomes))
-            for index, row in enumerate(outcomes):
-                target[index].key = row.key
-                target[index].outcome = int(row.outcome)
+        case Outcomes():
+            _fill_outcomes(body.init("outcomeSet"), message)
+
+
+def _fill_outcomes(target: Any, outcomes: Outcomes) -> None:
+    target.id = outcomes.id
+    target.isRelayRequested = outcomes.is_relay_requested
+    rows = target.init("outcomes", len(outcomes.instance_outcomes))
+    for index, row in enumerate(outcomes.instance_outcomes):
+        rows[index].key = row.key
+        rows[index].outcome = int(row.outcome)
+
+
+def _read_outcomes(rows: Any) -> tuple[InstanceOutcome, ...]:
+    return tuple(InstanceOutcome(row.key, Outcome(row.outcome)) for row in rows)
 
 
 def _fill_notice(target: Any, notice: TableNotice) -> None:
     target.after = notice.after.encode()
     target.version = notice.version.encode()
+    target.table = notice.table
     target.failedAgoMs = min(int(notice.failed_ago), MAX_AGE_MS)
     rows = target.init("rows", len(notice.rows))
     for index, row in enumerate(notice.rows):
@@ -175,6 +186,7 @@
         after=decode_version(source.after),
         version=decode_version(source.version),
         failed_ago=float(source.failedAgoMs),
+        table=source.table,
         rows=tuple(
             TableRow(row.key, None if row.isRemoved else bytes(row.value))
             for row in source.rows
@@ -250,10 +262,13 @@
         case "tableNotice":
             return _read_notice(body.tableNotice)
         case "outcomes":
-            rows = (
-                InstanceOutcome(row.key, Outcome(row.outcome)) for row in body.outcomes
+            # Sent by VMs of an earlier version.
+            return Outcomes(_read_outcomes(body.outcomes))
+        case "outcomeSet":
+            source = body.outcomeSet
+            return Outcomes(
+                _read_outcomes(source.outcomes), source.id, source.isRelayRequested
             )
-            return Outcomes(tuple(rows))
     raise ValueError("unknown message")
 
 
--- a/src/galenaferry/peers/component.py
+++ b/src/galenaferry/peers/component.py
@@ -1,6 +1,6 @@
 """Sends messages to other VMs and dispatches the received ones by type."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any, Protocol
 
 from circuits import BaseComponent
@@ -83,11 +83,18 @@
 
     def send(self, address: str, message: Message) -> None:
         """Send a message to the VM at ``address`` (IP:PORT) in one datagram."""
+        self.send_to_all((address,), message)
+
+    def send_to_all(self, addresses: Collection[str], message: Message) -> None:
+        """Send a message, encoded once, to the VMs at all ``addresses``."""
+        if not addresses:
+            return
         data = encode(Datagram(self._own_member(), message), self._keys)
-        host, _, port = address.rpartition(":")
-        self._sent += 1
-        self._bytes_sent += len(data)
-        self._socket.send(data, (host, int(port)))
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            self._sent += 1
+            self._bytes_sent += len(data)
+            self._socket.send(data, (host, int(port)))
 
     def dump(self) -> dict[str, Any]:
         """Return the counters as JSON data."""
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -65,6 +65,12 @@
   outcome @1 :UInt8;
 }
 
+struct OutcomeSet {
+  id @0 :UInt64;
+  isRelayRequested @1 :Bool;
+  outcomes @2 :List(Outcome);
+}
+
 struct TableRow {
   key @0 :Text;
   value @1 :Data;
@@ -76,6 +82,7 @@
   version @1 :UInt64;
   rows @2 :List(TableRow);
   failedAgoMs @3 :UInt32;
+  table @4 :Text;
 }
 
 struct Datagram {
@@ -90,5 +97,6 @@
     verdicts @7 :List(Verdict);
     outcomes @8 :List(Outcome);
     tableNotice @9 :TableNotice;
+    outcomeSet @10 :OutcomeSet;
   }
 }
