Compute probers in proportion to a zone, and start without pkg_resources

Ruled out: a cheaper hash of VM and instance. Change: placing/candidates.py; the search for probers ends once two VMs rank before this one.

--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -8,13 +8,11 @@
 from random import Random
 from typing import Any, Final, NamedTuple
 
-import xxhash
-
 from ..attempts.messages import Evidence
 from ..backends.borrowing import BorrowingPolicy
 from ..backends.choice import Choice
 from ..backends.messages import CapacityShare, Instance, SelectionCriteria
-from ..backends.ownership import Vm, owned_slots
+from ..backends.ownership import Vm
 from ..backends.pool import InstancePool
 from ..clock import Millis
 from ..configuration.policy import Policy
@@ -23,6 +21,7 @@
 from ..logs import logger
 from ..network.loop import Loop
 from .announcements import Announcements, Usability
+from .candidates import StaticCandidate, StaticCandidates
 from .decisions import PROBE_BELOW, Candidate, RequestProfile, choose_instance
 from .latency import LatencyTracker
 from .reachability import Reachability
@@ -36,9 +35,6 @@
 A VM sends a service one or two requests per second, to a few instances; with 1 s, as
 in ``backends.pool``, nearly every request would need a new connection.
 """
-PROBERS_PER_INSTANCE: Final = 2
-"""VMs that probe an instance that may have recovered, before the others send it
-requests that are not idempotent (see ``decisions``)."""
 RECENT_FAILURE_MS: Final = 2_000.0
 """Time after a failure for which an instance does not count toward the floor."""
 BROADCAST_SUCCESS_ABOVE: Final = 0.3
@@ -79,17 +75,6 @@
     model: FaultModel = FaultModel()
 
 
-class _StaticCandidate(NamedTuple):
-    """Properties of an instance that change only with the instance or VM list."""
-
-    instance: Instance
-    name: str
-    posterior: Posterior
-    is_prober: bool
-    has_owned_slot: bool
-    is_remote_zone: bool
-
-
 class Placement:
     """Instances of all services (see ``backends.directory.Backends``).
 
@@ -123,9 +108,7 @@
         self._latency_tracker_by_route: dict[str, LatencyTracker] = {}
         self._response_kb_by_route: dict[str, float] = {}
         self._borrowing = BorrowingPolicy()
-        self._me = Vm("", settings.zone)
-        self._vms: tuple[Vm, ...] = (self._me,)
-        self._static_candidates_by_service: dict[str, list[_StaticCandidate]] = {}
+        self._static_candidates = StaticCandidates(settings.zone)
         self.zone = settings.zone
         self.by_service: dict[str, tuple[Instance, ...]] = {}
         self.on_capacity: Callable[[str], None] = lambda service: None
@@ -144,14 +127,11 @@
         self._reachability.retain_only(names)
         for name in self._pool_by_name.keys() - names:
             self._pool_by_name.pop(name).close_all_idle()
-        self._static_candidates_by_service.clear()
+        self._static_candidates.clear()
 
     def set_live_vms(self, me: Vm, vms: tuple[Vm, ...]) -> None:
         """Divide slots and connections among the VMs that are live now."""
-        if vms != self._vms:
-            self._me = me
-            self._vms = vms
-            self._static_candidates_by_service.clear()
+        self._static_candidates.set_live_vms(me, vms)
 
     def has_service(self, service: str) -> bool:
         """Return True: a service without instances is unavailable, not unknown."""
@@ -167,9 +147,7 @@
         now = self._loop.clock.now()
         untried = [
             static_candidate
-            for static_candidate in self._static_candidates(
-                criteria.service, criteria.policy
-            )
+            for static_candidate in self._candidates(criteria.service, criteria.policy)
             if static_candidate.instance.address not in criteria.tried
         ]
         if not self._announcements.is_empty:
@@ -183,10 +161,10 @@
         return choose_instance(candidates, profile, self._random)
 
     def _usable(
-        self, static_candidates: list[_StaticCandidate], now: Millis
-    ) -> list[_StaticCandidate]:
+        self, static_candidates: list[StaticCandidate], now: Millis
+    ) -> list[StaticCandidate]:
         """Return the candidates whose announcements permit new requests."""
-        by_usability: dict[Usability, list[_StaticCandidate]] = {}
+        by_usability: dict[Usability, list[StaticCandidate]] = {}
         for static in static_candidates:
             usability = self._announcements.usability(
                 static.name, self.settings.drain_timeout, now
@@ -210,7 +188,9 @@
             policy.connections_per_instance * USABLE_CONNECTION_FRACTION
         )
         return CapacityShare(
-            connections=max(1, int(usable_connections / len(self._vms))),
+            connections=max(
+                1, int(usable_connections / self._static_candidates.vm_count)
+            ),
             slots=policy.slots_per_instance,
         )
 
@@ -364,7 +344,7 @@
             for service, instances in self.by_service.items()
         }
 
-    def _candidate(self, static_candidate: _StaticCandidate, now: Millis) -> Candidate:
+    def _candidate(self, static_candidate: StaticCandidate, now: Millis) -> Candidate:
         instance, name, posterior, is_prober, has_owned_slot, is_remote_zone = (
             static_candidate
         )
@@ -384,42 +364,19 @@
             is_paused or self._reachability.is_unreachable(name, now),
         )
 
+    def _candidates(self, service: str, policy: Policy) -> list[StaticCandidate]:
+        """Return the static properties of a service's instances."""
+        now = self._loop.clock.now()
+        return self._static_candidates.of_service(
+            service,
+            self.by_service.get(service, ()),
+            policy.slots_per_instance,
+            lambda instance: self._posterior(instance, now),
+        )
+
     def _posterior(self, instance: Instance, now: Millis) -> Posterior:
         return self._posteriors.get(instance.name, now)
 
-    def _static_candidates(
-        self, service: str, policy: Policy
-    ) -> list[_StaticCandidate]:
-        """Return the cached static properties of a service's instances."""
-        static_candidates = self._static_candidates_by_service.get(service)
-        if static_candidates is None:
-            now = self._loop.clock.now()
-            listed = self.by_service.get(service, ())
-            slots = policy.slots_per_instance
-            owned = owned_slots(self._me, self._vms, service, listed, slots)
-            static_candidates = [
-                _StaticCandidate(
-                    instance,
-                    instance.name,
-                    self._posterior(instance, now),
-                    self._is_prober(instance),
-                    instance.address in owned,
-                    instance.zone != self.zone,
-                )
-                for instance in listed
-            ]
-            self._static_candidates_by_service[service] = static_candidates
-        return static_candidates
-
-    def _is_prober(self, instance: Instance) -> bool:
-        """Whether this VM probes an instance, by rendezvous hashing.
-
-        The probers are VMs in the zone of the instance, of any zone if it has none.
-        """
-        same_zone = [vm for vm in self._vms if vm.zone == instance.zone] or self._vms
-        ranked = sorted(same_zone, key=lambda vm: _hash(vm.address, instance.name))
-        return self._me in ranked[:PROBERS_PER_INSTANCE]
-
     def _latency_tracker(self, route: str) -> LatencyTracker:
         tracker = self._latency_tracker_by_route.get(route)
         if tracker is None:
@@ -434,7 +391,3 @@
     def _flush_broadcast(self) -> None:
         outcomes, self._queued_outcomes = self._queued_outcomes, []
         self._broadcast(Outcomes(tuple(outcomes)))
-
-
-def _hash(first: str, second: str) -> int:
-    return xxhash.xxh64_intdigest(f"{first}\n{second}".encode())
--- a/src/galenaferry_node.py
+++ b/src/galenaferry_node.py
@@ -3,7 +3,13 @@
 ``deploy/system.toml`` runs it.
 """
 
-from galenaferry.platform.__main__ import main
+import sys
+
+# circuits declares a namespace package with pkg_resources where that is installed, and
+# has another way where it is not. Importing it takes longer than all the rest.
+sys.modules.setdefault("pkg_resources", None)  # type: ignore[arg-type]
+
+from galenaferry.platform.__main__ import main  # noqa: E402
 
 if __name__ == "__main__":
     main()
