Gather outcomes at two hubs of each zone

Relays alone leave a receiver with a datagram for each outcome. Ruled out: two random relays for each outcome, where a VM receives each outcome twice in datagrams of their own. Change: outcomes go to two hubs of each zone, which gather for 25 ms and send on in their zone; each outcome has an id and is applied once.

--- a/src/galenaferry/discovery/readers.py
+++ b/src/galenaferry/discovery/readers.py
@@ -44,12 +44,12 @@
     """
     zones = {me.zone}
     better_ranked = 0
-    own_rank = _rank(me.address)
+    own_rank = rank_of(me.address)
     for member in live:
         zones.add(member.zone)
         if member.address == me.address or member.is_platform_down:
             continue
-        if member.zone == me.zone and _rank(member.address) < own_rank:
+        if member.zone == me.zone and rank_of(member.address) < own_rank:
             better_ranked += 1
     count = max(READERS_PER_ZONE, math.ceil(MIN_READERS / len(zones)))
     return better_ranked < count
@@ -66,5 +66,6 @@
 
 
 @lru_cache(maxsize=MAX_RANKED_VMS)
-def _rank(address: str) -> int:
+def rank_of(address: str) -> int:
+    """Return the rank of the VM at an address, the same on all VMs; lower is better."""
     return xxhash.xxh64_intdigest(address.encode())
--- a/src/galenaferry/health/messages.py
+++ b/src/galenaferry/health/messages.py
@@ -60,28 +60,25 @@
 
 
 class InstanceOutcome(NamedTuple):
-    """Outcome of one attempt at the instance with ``key``."""
+    """Outcome of one attempt at the instance with ``key``.
+
+    ``id`` is a random number that identifies the outcome when it arrives more than
+    once, 0 if it has none.
+    """
 
     key: int
     outcome: Outcome
+    id: int = 0
 
 
 class Outcomes(NamedTuple):
-    """Outcomes that one VM saw and that other VMs should apply to their posteriors.
-
-    Attributes
-    ----------
-    instance_outcomes : tuple of InstanceOutcome
-    id : int
-        Random number that identifies the message when it arrives more than once, 0 if
-        it has none.
-    is_relay_requested : bool
-        Whether the receiver should send it to the other VMs of its zone.
+    """Outcomes that VMs saw and that other VMs should apply to their posteriors.
+
+    ``is_for_zone`` says that the receiver should send them on to the VMs of its zone.
     """
 
     instance_outcomes: tuple[InstanceOutcome, ...]
-    id: int = 0
-    is_relay_requested: bool = False
+    is_for_zone: bool = False
 
 
 def instance_key(identity: str) -> int:
--- a/src/galenaferry/node/broadcasts.py
+++ b/src/galenaferry/node/broadcasts.py
@@ -1,27 +1,35 @@
 """Messages from this VM to many others.
 
-Bytes between zones are expensive, and one datagram to each of hundreds of VMs is too
-much work for a small one. News of a table goes to the VM's own zone only, as each zone
-has its own readers. Outcomes go to the own zone, and to a few VMs of each other zone
-that relay them there.
+Bytes between zones are expensive, and a datagram for each outcome to each of hundreds
+of VMs is too much work for small ones, mostly for their receivers. News of a table goes
+to the VM's own zone only, as each zone has its own readers. Outcomes go to the hubs of
+each zone, two of its VMs that gather them for some milliseconds and send them on within
+the zone.
 """
 
 from collections.abc import Iterable
 from random import Random
 from typing import Final
 
-from ..clock import Clock
+from ..clock import Millis
 from ..discovery.messages import TableNotice
-from ..health.messages import Outcomes
+from ..discovery.readers import rank_of
+from ..health.messages import InstanceOutcome, Outcomes
 from ..membership.messages import Member
 from ..membership.state import MemberTable
+from ..network.loop import Loop
 from ..peers.component import PeersComponent
 
-RELAYS_PER_ZONE: Final = 2
-"""VMs of another zone that relay outcomes. A second one makes up for a lost datagram,
-and for one that has died and counts as live still."""
-MAX_REMEMBERED_IDS: Final = 2_000
-"""Number of latest messages whose repetitions are recognized, those of some seconds
+HUBS_PER_ZONE: Final = 2
+"""Hubs of a zone. The second one makes up for lost datagrams, and for a hub that has
+died and counts as live still."""
+GATHERING_MS: Final[Millis] = 25.0
+"""Time for which a hub gathers outcomes, a tenth of the work of a short request. It
+bounds the datagrams that a VM receives from a hub to 40 a second."""
+HUBS_CACHE_MS: Final[Millis] = 250.0
+"""Time for which the hubs are not determined anew."""
+MAX_REMEMBERED_IDS: Final = 8_000
+"""Number of latest outcomes whose repetitions are recognized, those of some seconds
 while many instances fail."""
 
 
@@ -30,68 +38,104 @@
 
     Parameters
     ----------
+    loop : Loop
     members : MemberTable
     peers : PeersComponent
-    clock : Clock
     random : Random
     """
 
     def __init__(
-        self, members: MemberTable, peers: PeersComponent, clock: Clock, random: Random
+        self, loop: Loop, members: MemberTable, peers: PeersComponent, random: Random
     ) -> None:
+        self._loop = loop
         self._members = members
         self._peers = peers
-        self._clock = clock
         self._random = random
-        self._seen_ids: dict[int, None] = {}
+        self._received_ids = _RecentIds()
+        self._forwarded_ids = _RecentIds()
+        self._gathered: list[InstanceOutcome] = []
+        self._hubs: tuple[str, ...] = ()
+        self._hubs_expire_at: Millis = 0.0
 
     def send_notice(self, notice: TableNotice) -> None:
         """Send news of a table to the VMs of this zone."""
         self._peers.send_to_all(_addresses(self._own_zone()), notice)
 
-    def send_outcomes(self, outcomes: Outcomes) -> None:
+    def send_outcomes(self, rows: tuple[InstanceOutcome, ...]) -> None:
         """Send outcomes that this VM has seen to all VMs of the region."""
-        message = outcomes._replace(id=self._random.getrandbits(64))
-        self._remember(message.id)
+        identified = tuple(
+            row._replace(id=self._random.getrandbits(64)) for row in rows
+        )
+        for row in identified:
+            self._received_ids.add(row.id)
+        hubs = self._find_hubs()
+        me = self._members.me.address
+        others = [address for address in hubs if address != me]
+        self._peers.send_to_all(others, Outcomes(identified, is_for_zone=True))
+        if me in hubs:
+            self._gather(identified)
+
+    def accept_outcomes(self, outcomes: Outcomes) -> tuple[InstanceOutcome, ...]:
+        """Return the rows that are received for the first time; forward if asked."""
+        rows = outcomes.instance_outcomes
+        if outcomes.is_for_zone:
+            # Also rows that came from the other hub: its copies may be lost.
+            self._gather(rows)
+        return tuple(row for row in rows if self._received_ids.add(row.id))
+
+    def _gather(self, rows: Iterable[InstanceOutcome]) -> None:
+        new_rows = [row for row in rows if self._forwarded_ids.add(row.id)]
+        if new_rows and not self._gathered:
+            self._loop.after(GATHERING_MS, self._forward_gathered)
+        self._gathered += new_rows
+
+    def _forward_gathered(self) -> None:
+        gathered, self._gathered = self._gathered, []
+        message = Outcomes(tuple(gathered))
         self._peers.send_to_all(_addresses(self._own_zone()), message)
-        relays = self._relays()
-        if relays:
-            request = message._replace(is_relay_requested=True)
-            self._peers.send_to_all(_addresses(relays), request)
-
-    def accept_outcomes(self, outcomes: Outcomes) -> bool:
-        """Relay outcomes if requested; return False if they were received before."""
-        if outcomes.is_relay_requested:
-            # Also if the other relay was faster, whose copies may be lost.
-            relayed = outcomes._replace(is_relay_requested=False)
-            self._peers.send_to_all(_addresses(self._own_zone()), relayed)
-        if outcomes.id in self._seen_ids:
-            return False
-        if outcomes.id:
-            self._remember(outcomes.id)
-        return True
 
     def _own_zone(self) -> list[Member]:
         """Return the recipients in this VM's zone, or in one that is not known yet."""
         zones = (self._members.me.zone, "")
-        recipients = self._members.recipients(self._clock.now())
+        recipients = self._members.recipients(self._loop.clock.now())
         return [member for member in recipients if member.zone in zones]
 
-    def _relays(self) -> list[Member]:
-        members_by_zone: dict[str, list[Member]] = {}
-        for member in self._members.recipients(self._clock.now()):
-            if member.zone not in (self._members.me.zone, ""):
-                members_by_zone.setdefault(member.zone, []).append(member)
-        relays: list[Member] = []
-        for members in members_by_zone.values():
-            count = min(RELAYS_PER_ZONE, len(members))
-            relays += self._random.sample(members, count)
-        return relays
-
-    def _remember(self, message_id: int) -> None:
-        self._seen_ids[message_id] = None
-        if len(self._seen_ids) > MAX_REMEMBERED_IDS:
-            del self._seen_ids[next(iter(self._seen_ids))]
+    def _find_hubs(self) -> tuple[str, ...]:
+        """Return the addresses of the hubs of all zones."""
+        now = self._loop.clock.now()
+        if now >= self._hubs_expire_at:
+            self._hubs_expire_at = now + HUBS_CACHE_MS
+            me = self._members.me
+            by_zone: dict[str, list[str]] = {}
+            for member in [*self._members.recipients(now), me]:
+                by_zone.setdefault(member.zone, []).append(member.address)
+            self._hubs = tuple(
+                address
+                for addresses in by_zone.values()
+                for address in sorted(addresses, key=rank_of)[:HUBS_PER_ZONE]
+            )
+        return self._hubs
+
+
+class _RecentIds:
+    """Identifiers of the latest messages."""
+
+    def __init__(self) -> None:
+        self._ids: dict[int, None] = {}
+
+    def add(self, identifier: int) -> bool:
+        """Add an identifier; return False if it is among the latest ones.
+
+        Identifier 0 stands for none, and is always new.
+        """
+        if not identifier:
+            return True
+        if identifier in self._ids:
+            return False
+        self._ids[identifier] = None
+        if len(self._ids) > MAX_REMEMBERED_IDS:
+            del self._ids[next(iter(self._ids))]
+        return True
 
 
 def _addresses(members: Iterable[Member]) -> list[str]:
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -126,7 +126,7 @@
         self.peers = PeersComponent(
             loop, settings.peers, PeerKeys(peer_key), lambda: self.table.me, self
         ).register(self)
-        self._broadcasts = Broadcasts(self.table, self.peers, loop.clock, random)
+        self._broadcasts = Broadcasts(loop, self.table, self.peers, random)
         self.placement = Placement(
             loop,
             _placement_settings(settings),
@@ -302,8 +302,8 @@
     def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
         """Handle outcomes of attempts that another VM observed."""
         self.table.merge(sender, self.loop.clock.now())
-        if self._broadcasts.accept_outcomes(outcomes):
-            self.placement.on_outcomes(sender.address, outcomes)
+        new_rows = self._broadcasts.accept_outcomes(outcomes)
+        self.placement.on_outcomes(sender.address, new_rows)
 
     def on_gossip(self, sender: Member, message: GossipMessage) -> None:
         """Do nothing: on this node the store orders the configuration changes."""
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -157,16 +157,16 @@
 
 
 def _fill_outcomes(target: Any, outcomes: Outcomes) -> None:
-    target.id = outcomes.id
-    target.isRelayRequested = outcomes.is_relay_requested
+    target.isForZone = outcomes.is_for_zone
     rows = target.init("outcomes", len(outcomes.instance_outcomes))
     for index, row in enumerate(outcomes.instance_outcomes):
         rows[index].key = row.key
         rows[index].outcome = int(row.outcome)
+        rows[index].id = row.id
 
 
 def _read_outcomes(rows: Any) -> tuple[InstanceOutcome, ...]:
-    return tuple(InstanceOutcome(row.key, Outcome(row.outcome)) for row in rows)
+    return tuple(InstanceOutcome(row.key, Outcome(row.outcome), row.id) for row in rows)
 
 
 def _fill_notice(target: Any, notice: TableNotice) -> None:
@@ -266,9 +266,7 @@
             return Outcomes(_read_outcomes(body.outcomes))
         case "outcomeSet":
             source = body.outcomeSet
-            return Outcomes(
-                _read_outcomes(source.outcomes), source.id, source.isRelayRequested
-            )
+            return Outcomes(_read_outcomes(source.outcomes), source.isForZone)
     raise ValueError("unknown message")
 
 
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -63,12 +63,12 @@
 struct Outcome {
   key @0 :UInt64;
   outcome @1 :UInt8;
+  id @2 :UInt64;
 }
 
 struct OutcomeSet {
-  id @0 :UInt64;
-  isRelayRequested @1 :Bool;
-  outcomes @2 :List(Outcome);
+  isForZone @0 :Bool;
+  outcomes @1 :List(Outcome);
 }
 
 struct TableRow {
--- a/src/galenaferry/peers/tests/test_codec.py
+++ b/src/galenaferry/peers/tests/test_codec.py
@@ -35,7 +35,7 @@
     Page(LogName.CONFIGURATION, 17, "d", 6, 60, ("row", "row")),
     Report((Counts(2**63, 5, 1, 2),)),
     Verdicts((Verdict(9, HealthState.PROBATION, 20, 0.5),)),
-    Outcomes((InstanceOutcome(2**63, Outcome.LEAVING),)),
+    Outcomes((InstanceOutcome(2**63, Outcome.LEAVING, 9),), True),
     TableNotice(
         StoreVersion(1, 2**43), StoreVersion(2, 3), (TableRow("i-1", None),), 5.0
     ),
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -16,7 +16,7 @@
 from ..backends.pool import InstancePool
 from ..clock import Millis
 from ..configuration.policy import Policy
-from ..health.messages import InstanceOutcome, Outcomes, instance_key
+from ..health.messages import InstanceOutcome, instance_key
 from ..health.posteriors import FaultModel, Outcome, Posterior, Posteriors
 from ..logs import logger
 from ..network.loop import Loop
@@ -92,7 +92,7 @@
         loop: Loop,
         settings: PlacementSettings,
         random: Random,
-        broadcast: Callable[[Outcomes], None],
+        broadcast: Callable[[tuple[InstanceOutcome, ...]], None],
     ) -> None:
         self._loop = loop
         self.settings = settings
@@ -265,10 +265,12 @@
         if is_broadcast:
             self._queue_broadcast(InstanceOutcome(instance_key(instance.name), outcome))
 
-    def on_outcomes(self, sender: str, outcomes: Outcomes) -> None:
+    def on_outcomes(
+        self, sender: str, instance_outcomes: tuple[InstanceOutcome, ...]
+    ) -> None:
         """Apply outcomes that another VM saw."""
         now = self._loop.clock.now()
-        for instance_outcome in outcomes.instance_outcomes:
+        for instance_outcome in instance_outcomes:
             name = self._name_by_key.get(instance_outcome.key)
             if name is None:
                 continue
@@ -390,4 +392,4 @@
 
     def _flush_broadcast(self) -> None:
         outcomes, self._queued_outcomes = self._queued_outcomes, []
-        self._broadcast(Outcomes(tuple(outcomes)))
+        self._broadcast(tuple(outcomes))
--- a/src/galenaferry/placing/tests/test_announcements.py
+++ b/src/galenaferry/placing/tests/test_announcements.py
@@ -5,7 +5,7 @@
 from galenaferry.attempts.messages import Answered, CertifiedNotRun, Misdirected
 from galenaferry.backends.choice import NoInstance
 from galenaferry.framing.messages import ResponseHead
-from galenaferry.health.messages import InstanceOutcome, Outcomes, instance_key
+from galenaferry.health.messages import InstanceOutcome, instance_key
 from galenaferry.health.posteriors import Outcome
 from galenaferry.placing.announcements import MAX_PAUSE_MS
 from galenaferry.placing.tests.builders import instance
@@ -66,7 +66,7 @@
     announce_leaving(bench, 1)
     announce_leaving(bench, 1)
     leaving = InstanceOutcome(instance_key(instance(1).name), Outcome.LEAVING)
-    assert bench.broadcasts == [Outcomes((leaving,))]
+    assert bench.broadcasts == [(leaving,)]
     other = PlacementBench([instance(1), instance(2)])
     other.placement.on_outcomes("10.9.9.9:7000", bench.broadcasts[0])
     assert other.chosen_ids() == {"i-2"}
--- a/src/galenaferry/placing/tests/test_component.py
+++ b/src/galenaferry/placing/tests/test_component.py
@@ -8,7 +8,7 @@
 from galenaferry.backends.ownership import Vm
 from galenaferry.clock import FakeClock
 from galenaferry.configuration.policy import DEFAULT_POLICY
-from galenaferry.health.messages import InstanceOutcome, Outcomes, instance_key
+from galenaferry.health.messages import InstanceOutcome, instance_key
 from galenaferry.health.posteriors import Outcome
 from galenaferry.network.loop import Loop
 from galenaferry.placing.component import Placement, PlacementSettings
@@ -45,7 +45,7 @@
 
     def receive(self, number, outcome):
         instance_outcome = InstanceOutcome(instance_key(instance(number).name), outcome)
-        self.placement.on_outcomes("10.9.9.9:7000", Outcomes((instance_outcome,)))
+        self.placement.on_outcomes("10.9.9.9:7000", (instance_outcome,))
 
 
 def test_failures_are_broadcast_and_successes_only_of_suspected_instances():
@@ -57,7 +57,7 @@
     outcomes = [
         instance_outcome.outcome
         for broadcast in bench.broadcasts
-        for instance_outcome in broadcast.instance_outcomes
+        for instance_outcome in broadcast
     ]
     assert outcomes == [Outcome.FAILED, Outcome.GOOD]
 
@@ -100,9 +100,7 @@
     bench = PlacementBench([instance(1, born=1), instance(2)])
     bench.placement.on_outcomes(
         "10.9.9.9:7000",
-        Outcomes(
-            (InstanceOutcome(instance_key(instance(1, born=1).name), Outcome.FAILED),)
-        ),
+        (InstanceOutcome(instance_key(instance(1, born=1).name), Outcome.FAILED),),
     )
     assert bench.chosen_ids() == {"i-2"}
     bench.placement.replace_instances([instance(1, born=2), instance(2)])
