--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,16 +1,19 @@
 """Run the soak test: ``python -m soak --seed N --seconds S --vms V``."""
 
 import argparse
+import json
 import math
 import signal
 import socket
 import sys
 import tempfile
+from collections import deque
 from pathlib import Path
 from random import Random
 
 from circuits import Component
 
+from galenaferry.network.fetch import FetchRequest, FetchResult, fetch
 from galenaferry.network.loop import Loop
 
 from .callers import Callers
@@ -33,6 +36,11 @@
 FIRST_PORT, LAST_PORT = 20_000, 29_000
 DIRECT_PORT_OFFSET = 10_000
 """Offset from the port of an instance's proxy to the port of the instance itself."""
+COPIES = 8
+"""Latest faults before which the store was copied: about three seconds."""
+REWRITE_MS = 300.0
+"""Time after a restore in which the operator and the instances write again."""
+CHECK_MS = 2_500.0
 STORE_FAULTS = ("refuse", "silent", "lose")
 
 
@@ -82,6 +90,8 @@
         self._last_port = port + 10
         self._version = 0
         self.store = Store(self.loop, (HARNESS_IP, port + 6))
+        self._copies = deque([self.store.take_copy()], maxlen=COPIES)
+        self._leaving: list[Instance] = []
         self.instances: list[Instance] = []
         self.proxy_by_name: dict[str, Proxy] = {}
         for service in ("one", "one", "one", "two", "two", "two"):
@@ -117,6 +127,7 @@
         while self.callers.pending_count and self.loop.clock.now() < ends_at:
             self._run_loop_for(REQUEST_INTERVAL_MS)
         self.callers.check_executions()
+        self._check_tables()
         if self.callers.pending_count:
             text = f"{self.callers.pending_count} requests have no end"
             self.record.findings.append(text)
@@ -136,7 +147,8 @@
         vm = self.random.choice(self.vms)
         instance = self.random.choice(self.instances)
         duration_ms = 500.0 + 2_500.0 * self.random.random()
-        match self.random.randrange(11):
+        self._copies.append(self.store.take_copy())
+        match self.random.randrange(12):
             case 0:
                 self._signal_vm(vm, signal.SIGKILL, duration_ms)
             case 1:
@@ -160,8 +172,10 @@
                 self._replace_instance(instance)
             case 8 | 9:
                 self._inject_link_fault(duration_ms)
-            # 3 gets here in runs without store faults.
-            case 3 | 10:
+            case 11 if self._has_store_faults:
+                self._restore_store()
+            # 3 and 11 get here in runs without store faults.
+            case 3 | 10 | 11:
                 self._write_configuration(self.random.choice(("one", "two")))
 
     def _signal_vm(
@@ -195,6 +209,54 @@
         proxy.start_fault(fault)
         self.loop.after(duration_ms, proxy.end_fault)
 
+    def _restore_store(self) -> None:
+        """Let the store come back from a copy some seconds old.
+
+        The operator and the instances soon write again, and rows of instances that are
+        gone expire.
+        """
+        self.injected_faults.append("store restored from a copy")
+        self.record.timing.on_store_fault(self.loop.clock.now(), REWRITE_MS)
+        self.store.restore(self._copies[0])
+        self._copies.clear()
+        self._copies.append(self.store.take_copy())
+        self.loop.after(REWRITE_MS, self._write_again)
+
+    def _write_again(self) -> None:
+        self.store.put("op", "config", self._configuration)
+        rows = {i.name: i.row("ready") for i in self.instances}
+        rows |= {i.name: i.row("draining") for i in self._leaving}
+        for table, key in list(self.store.value_by_row_key):
+            if table == "servers" and key not in rows:
+                self.store.put("servers", key, None)
+        for name, row in rows.items():
+            self.store.put("servers", name, row)
+
+    def _check_tables(self) -> None:
+        """Check that each VM has the instances of the store and its era."""
+        expected = {instance.name for instance in self.instances}
+        for vm in self.vms:
+            request = FetchRequest(vm.readiness_address, "GET", "/v1/state")
+            fetch(self.loop, request, lambda result, vm=vm: check(vm, result))
+
+        def check(vm: Vm, result: FetchResult) -> None:
+            if result.is_err():
+                text = f"vm-{vm.number} gives no state: {result.err_value.text}"
+                self.record.findings.append(text)
+                return
+            state = json.loads(result.ok_value.body)
+            found = {
+                name.partition("@")[0]
+                for rows in state["instances"]["by_service"].values()
+                for name in rows
+            }
+            era = state["instances"]["store_era"]
+            if (found, era) != (expected, self.store.era):
+                text = f"vm-{vm.number} has {sorted(found ^ expected)} wrong, era {era}"
+                self.record.findings.append(text)
+
+        self._run_loop_for(CHECK_MS)
+
     def _replace_instance(self, instance: Instance) -> None:
         """Drain and remove an instance and add a new one of the same service.
 
@@ -202,12 +264,18 @@
         """
         self.injected_faults.append(f"{instance.name} leaves")
         self.instances.remove(instance)
+        self._leaving.append(instance)
+        instance.is_leaving = True
         self._add_instance(instance.service)
         self.store.put("servers", instance.name, instance.row("draining"))
         self.record.timing.on_instance_draining(instance.name, self.loop.clock.now())
-        self.loop.after(2_500.0, lambda: self.store.put("servers", instance.name, None))
+        self.loop.after(2_500.0, lambda: self._remove_row(instance))
         self.loop.after(4_000.0, instance.close)
 
+    def _remove_row(self, instance: Instance) -> None:
+        self._leaving.remove(instance)
+        self.store.put("servers", instance.name, None)
+
     def _add_instance(self, service: str) -> None:
         self._last_port += 1
         name = f"i-{self._last_port}"
@@ -246,6 +314,7 @@
         limits |= {"headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
         document = {"version": f"{self._version:08x}", "routes": routes}
         document |= {"services": services, "limits": limits}
+        self._configuration = document
         self.store.put("op", "config", document)
         self.record.timing.on_configuration_written(service, self.loop.clock.now())
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -34,6 +34,7 @@
         self.number = number
         self.ip = f"127.0.0.{number + 2}"
         self.front_address = (self.ip, port)
+        self.readiness_address = (self.ip, port + 1)
         self._log_file = folder / f"vm-{number}.log"
         self._node_file = folder / f"vm-{number}.toml"
         seeds = ", ".join(f'"127.0.0.{n}:{port}"' for n in (2, 3, 4))
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -51,15 +51,22 @@
         self.service = service
         self.address, direct_address = addresses
         self.mode = "well"
+        self.is_leaving = False
+        self._sequence = 0
         self._listener = serve(loop, direct_address, self._on_request)
 
     def row(self, state: str) -> dict[str, object]:
-        """Return the instance's row in the ``servers`` table in the given state."""
+        """Return the instance's row in the ``servers`` table in the given state.
+
+        Each call counts as a report of the instance.
+        """
+        self._sequence += 1
+        status = {"state": state, "sequence": self._sequence, "coldRemainingMs": 0}
         return {
             "address": f"{self.address[0]}:{self.address[1]}",
             "born": 1,
             "info": {"service": self.service, "version": "v1", "zone": "a", "slots": 6},
-            "status": {"state": state, "sequence": 1, "coldRemainingMs": 0},
+            "status": status,
         }
 
     def close(self) -> None:
@@ -79,6 +86,8 @@
         if mode == "sheds":
             headers = {"galenaferry-not-executed": "1"}
             headers |= {"galenaferry-request-id": request}
+            if self._random.random() < 0.5:
+                headers["retry-after"] = "0.8"
             connection.respond(503, headers, b"")
             return
         self._record.runs_by_request[request] += 1
@@ -95,6 +104,8 @@
             "galenaferry-request-id": request,
             "galenaferry-response-signature": f"s-{request}",
         }
+        if self.is_leaving:
+            headers["server-leaving"] = "1"
         match mode:
             case "hangs":
                 return
--- a/soak/store.py
+++ b/soak/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from typing import NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 from galenaferry.network.loop import Loop
@@ -9,6 +10,14 @@
 from .connections import ServerConnection, serve
 
 
+class StoreCopy(NamedTuple):
+    """Contents of the store at one time."""
+
+    version: int
+    value_by_row_key: dict[tuple[str, str], bytes | None]
+    version_by_row_key: dict[tuple[str, str], int]
+
+
 class Store:
     """Rows by table and key, served over HTTP with long polls for changes.
 
@@ -25,6 +34,7 @@
         self.version_by_row_key: dict[tuple[str, str], int] = {}
         self.oldest_version = 0
         self.fault = ""
+        self.era = 1
         serve(loop, address, self._on_request)
 
     def put(self, table: str, key: str, value: object) -> None:
@@ -45,13 +55,30 @@
         self.oldest_version = self.version
         waiting_feeds, self._waiting_feeds = self._waiting_feeds, []
         for connection, _, _ in waiting_feeds:
-            connection.respond(410, {}, b"{}")
+            connection.respond(410, self._headers(), b"{}")
+
+    def take_copy(self) -> StoreCopy:
+        """Return a copy that ``restore`` accepts."""
+        return StoreCopy(
+            self.version, dict(self.value_by_row_key), dict(self.version_by_row_key)
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; connections of waiting feeds are closed."""
+        self.era += 1
+        self.version = copy.version
+        self.value_by_row_key = dict(copy.value_by_row_key)
+        self.version_by_row_key = dict(copy.version_by_row_key)
+        self.oldest_version = min(self.oldest_version, copy.version)
+        waiting_feeds, self._waiting_feeds = self._waiting_feeds, []
+        for connection, _, _ in waiting_feeds:
+            connection.close()
 
     def _on_request(self, connection: ServerConnection) -> None:
         if self.fault == "silent" or connection.head is None:
             return
         if self.fault == "refuse":
-            connection.respond(503, {}, b"{}")
+            connection.respond(503, self._headers(), b"{}")
             return
         parts = urlsplit(connection.head.target.decode())
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
@@ -77,8 +104,8 @@
     def _respond_feed(
         self, connection: ServerConnection, table: str, after: int
     ) -> None:
-        if after < self.oldest_version:
-            connection.respond(410, {}, b"{}")
+        if not self.oldest_version <= after <= self.version:
+            connection.respond(410, self._headers(), b"{}")
             return
         changed = sorted(
             (version, row_key)
@@ -100,7 +127,10 @@
             connection.close()
             return
         data = {"rows": rows, "hasMore": False, "ver": self.version, "nowMs": 0}
-        connection.respond(200, {}, json.dumps(data).encode())
+        connection.respond(200, self._headers(), json.dumps(data).encode())
+
+    def _headers(self) -> dict[str, str]:
+        return {"store-era": str(self.era)}
 
 
 def _row(row_key: tuple[str, str], value: bytes | None) -> dict[str, object]:
