Let VMs of a first start find each other before any reads the tables

VMs on a small part of a core are up more than a second after the others. Change: three seconds instead of one before the first read, ended by the first request; the check for too few live VMs waits as long.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -168,6 +168,12 @@
             self._loop.every(READER_CHECK_INTERVAL_MS, self._update_reader_role)
             self._loop.every(ANNOUNCE_INTERVAL_MS, self._broadcast_version)
 
+    def end_startup_delay(self) -> None:
+        """Read the table now if the startup delay is not over and nothing is known."""
+        if not self.is_loaded and not self._is_reading:
+            self._starts_reading_at = self._loop.clock.now()
+            self._read()
+
     def refresh(self) -> None:
         """Replace a pending read, whose connection may be dead after a pause."""
         if self._is_reading:
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -278,3 +278,13 @@
     assert bench.source.calls == []
     bench.run_for(400.0)
     assert len(bench.source.calls) == 1
+
+
+def test_a_request_ends_the_startup_delay():
+    bench = FollowerBench(is_shared=True, startup_delay=3_000.0)
+    bench.is_designated_reader = False
+    bench.follower.end_startup_delay()
+    assert [call[0] for call in bench.source.calls] == ["all"]
+    bench.source.answer(table_update(9, True, config=b"one"))
+    bench.follower.end_startup_delay()
+    assert len(bench.source.calls) == 1
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -64,9 +64,9 @@
 complete views of their members (``membership/tests/test_heartbeats.py``)."""
 CAPACITY_SHARE_INTERVAL_MS: Final = 500.0
 """Interval at which slots and connections are divided among the live VMs."""
-FIRST_START_DELAY_MS: Final = 1_000.0
+FIRST_START_DELAY_MS: Final = 3_000.0
 """Time after the first start of the fleet in which VMs find each other, so that a few
-of them read the tables for all."""
+of them read the tables for all. A request that arrives earlier ends it."""
 CONFIGURATION_COALESCING_MS: Final = 100.0
 INSTANCES_COALESCING_MS: Final = 400.0
 """Changes within this time are read in one call. 400 ms is a fifth of the 2 s after
@@ -206,7 +206,7 @@
             limits=lambda: self.routes.limits,
             retry_after=self._retry_after,
             overdue_policy=self.placement,
-            startup_queue=StartupQueue(loop),
+            startup_queue=StartupQueue(loop, on_first_request=self._on_first_request),
             on_request_finished=self._on_request_finished,
         )
         self.requests = RequestsComponent(self.context, settings.callers).register(self)
@@ -444,6 +444,10 @@
             "request", is_minor=summary.is_single_attempt_success, **fields
         )
 
+    def _on_first_request(self) -> None:
+        for follower in (self.configuration, self.instances):
+            follower.end_startup_delay()
+
     def _on_drain_announced(self) -> None:
         self.context.is_stopping = True
         self.table.me = self.table.me._replace(is_leaving=True)
--- a/src/galenaferry/node/tests/test_vm_register.py
+++ b/src/galenaferry/node/tests/test_vm_register.py
@@ -90,7 +90,7 @@
     assert bench.store.calls == []
     bench.run_for(1_000.0)
     bench.store.rows.append(row(2))
-    bench.run_for(2_000.0)
+    bench.run_for(4_000.0)
     assert bench.store.calls == ["write", "read"]
     assert bench.known_addresses() == {"10.0.0.2:7000"}
 
@@ -103,7 +103,7 @@
     bench.run_for(5_000.0)
     assert bench.known_addresses() == set()
     bench.store.is_unavailable = False
-    bench.run_for(3_000.0)
+    bench.run_for(5_000.0)
     assert bench.known_addresses() == {"10.0.0.2:7000"}
 
 
--- a/src/galenaferry/node/vm_register.py
+++ b/src/galenaferry/node/vm_register.py
@@ -24,8 +24,10 @@
 WRITE_SPREAD_MS: Final = 1_000.0
 """VMs that start together spread their writes over this time, one call each."""
 RETRY_DELAY_MS: Final = 1_000.0
-"""Delay before a failed call is repeated, and before the rows are read again, when VMs
-that started together have written theirs."""
+"""Delay before a failed call is repeated."""
+LIVENESS_CHECK_DELAY_MS: Final = 3_000.0
+"""Delay before the rows are read again if few VMs are live. VMs that start together are
+up by then, also those with a small part of a core, and have written their rows."""
 SUFFICIENT_LIVE_MEMBERS: Final = 4
 """Other live VMs from which heartbeats discover all the rest within seconds."""
 
@@ -93,7 +95,7 @@
         rows = list(rows)
         self._add_members(rows)
         if TableRow(self._key, self._row_value()) in rows:
-            self._loop.after(RETRY_DELAY_MS, self._read_if_few_live)
+            self._loop.after(LIVENESS_CHECK_DELAY_MS, self._read_if_few_live)
         else:
             self._schedule_write()
 
@@ -118,7 +120,7 @@
             log.warning("this VM could not be registered", error=error)
             self._loop.after(RETRY_DELAY_MS, self._write)
             return
-        self._loop.after(RETRY_DELAY_MS, self._read_if_few_live)
+        self._loop.after(LIVENESS_CHECK_DELAY_MS, self._read_if_few_live)
 
     def _read_if_few_live(self) -> None:
         """Read the table again unless enough other VMs are live."""
--- a/src/galenaferry/requests/startup.py
+++ b/src/galenaferry/requests/startup.py
@@ -20,14 +20,25 @@
     loop : Loop
     hold : float
         Longest time for which requests are held, in milliseconds.
+    on_first_request : callable
+        Called when the first request arrives, whether it is held or not.
     """
 
-    def __init__(self, loop: Loop, hold: Millis = STARTUP_HOLD_MS) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        hold: Millis = STARTUP_HOLD_MS,
+        on_first_request: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._on_first_request: Callable[[], None] | None = on_first_request
         self._pending: list[Callable[[], None]] | None = []
         loop.after(hold, self.release)
 
     def enqueue(self, start: Callable[[], None]) -> bool:
         """Delay ``start`` until the release; False if that has happened."""
+        if self._on_first_request is not None:
+            on_first_request, self._on_first_request = self._on_first_request, None
+            on_first_request()
         if self._pending is None:
             return False
         self._pending.append(start)
--- a/src/galenaferry/requests/tests/test_startup.py
+++ b/src/galenaferry/requests/tests/test_startup.py
@@ -75,3 +75,13 @@
     startup_queue = StartupQueue(Loop(FakeClock(1000.0)))
     startup_queue.release()
     assert not startup_queue.enqueue(lambda: None)
+
+
+def test_only_the_first_request_is_announced():
+    calls = []
+    queue = StartupQueue(Loop(FakeClock()), 0.0, lambda: calls.append("first"))
+    queue.release()
+    assert calls == []
+    assert not queue.enqueue(lambda: None)
+    assert not queue.enqueue(lambda: None)
+    assert calls == ["first"]
