--- a/src/galenaferry/discovery/peer_updates.py
+++ b/src/galenaferry/discovery/peer_updates.py
@@ -18,14 +18,13 @@
     TableError,
     TableRow,
     TableUpdate,
-    decode_version,
 )
 
 TIMEOUT_MS: Final = 1_000.0
 """Timeout of a fetch: some round trips between the most distant zones and a lost
 packet."""
 PATH_PREFIX: Final = "/tables/"
-MAX_ENCODED_VERSION: Final = (1 << 64) - 1
+MAX_NUMBER: Final = (1 << 63) - 1
 
 
 def encode_update(update: TableUpdate) -> dict[str, Any]:
@@ -34,8 +33,8 @@
         [row.key, None if row.value is None else base64.b64encode(row.value).decode()]
         for row in update.rows
     ]
-    version = update.version.encode()
-    return {"version": version, "whole": update.is_snapshot, "rows": rows}
+    era, counter = update.version
+    return {"version": counter, "era": era, "whole": update.is_snapshot, "rows": rows}
 
 
 def decode_update(body: bytes) -> TableUpdate:
@@ -52,9 +51,9 @@
             TableRow(str(key), None if value is None else base64.b64decode(value))
             for key, value in data["rows"]
         )
-        version = decode_version(int(data["version"]))
+        version = StoreVersion(int(data.get("era", 0)), int(data["version"]))
         return TableUpdate(version, rows, bool(data["whole"]))
-    except (KeyError, TypeError) as error:
+    except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"invalid table update: {error!r}") from None
 
 
@@ -71,7 +70,9 @@
     The address is IP:PORT. ``done`` is called once.
     """
     host, _, port = address.rpartition(":")
-    target = f"{PATH_PREFIX}{quote(table, safe='')}?after={after.encode()}"
+    target = (
+        f"{PATH_PREFIX}{quote(table, safe='')}?after={after.counter}&era={after.era}"
+    )
     request = FetchRequest((host, int(port)), "GET", target, timeout=timeout)
 
     def finish(result: FetchResult) -> None:
@@ -93,11 +94,14 @@
     update_since = update_since_by_table.get(table)
     if update_since is None or not request.path.startswith(PATH_PREFIX):
         return JsonResponse(404, {"error": "no such table"})
-    after = parse_whole_number(request.query.get("after", "0"), MAX_ENCODED_VERSION)
-    if isinstance(after, Err):
-        return JsonResponse(400, {"error": f"after {after.err_value}"})
-    update = update_since(decode_version(after.ok_value))
-    return JsonResponse(200, encode_update(update))
+    number_by_name: dict[str, int] = {}
+    for name in ("after", "era"):
+        number = parse_whole_number(request.query.get(name, "0"), MAX_NUMBER)
+        if isinstance(number, Err):
+            return JsonResponse(400, {"error": f"{name} {number.err_value}"})
+        number_by_name[name] = number.ok_value
+    after = StoreVersion(number_by_name["era"], number_by_name["after"])
+    return JsonResponse(200, encode_update(update_since(after)))
 
 
 def _parse_response(result: FetchResult) -> Result[TableUpdate, TableError]:
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -9,7 +9,12 @@
 import capnp
 from result import Err, Ok, Result
 
-from ..discovery.messages import TableNotice, TableRow, decode_version
+from ..discovery.messages import (
+    StoreVersion,
+    TableNotice,
+    TableRow,
+    decode_version,
+)
 from ..health.messages import (
     Counts,
     HealthState,
@@ -170,8 +175,11 @@
 
 
 def _fill_notice(target: Any, notice: TableNotice) -> None:
-    target.after = notice.after.encode()
-    target.version = notice.version.encode()
+    # Eras have fields of their own, so that VMs of an earlier version read counters.
+    target.after = notice.after.counter
+    target.afterEra = notice.after.era
+    target.version = notice.version.counter
+    target.versionEra = notice.version.era
     target.table = notice.table
     target.failedAgoMs = min(int(notice.failed_ago), MAX_AGE_MS)
     rows = target.init("rows", len(notice.rows))
@@ -183,8 +191,8 @@
 
 def _read_notice(source: Any) -> TableNotice:
     return TableNotice(
-        after=decode_version(source.after),
-        version=decode_version(source.version),
+        after=StoreVersion(source.afterEra, source.after),
+        version=StoreVersion(source.versionEra, source.version),
         failed_ago=float(source.failedAgoMs),
         table=source.table,
         rows=tuple(
@@ -204,10 +212,14 @@
 
 
 def _fill_heartbeat(target: Any, heartbeat: Heartbeat) -> None:
-    target.version = heartbeat.version
+    version = decode_version(heartbeat.version)
+    target.version = version.counter
+    target.versionEra = version.era
     target.digest = heartbeat.digest
     target.readAgeMs = min(heartbeat.freshness.read_age, MAX_AGE_MS)
-    target.listRevision = heartbeat.list_revision
+    list_revision = decode_version(heartbeat.list_revision)
+    target.listRevision = list_revision.counter
+    target.listRevisionEra = list_revision.era
     target.versionInForce = heartbeat.version_in_force
     sample = target.init("sample", len(heartbeat.sample))
     for index, member in enumerate(heartbeat.sample):
@@ -283,10 +295,12 @@
 
 def _read_heartbeat(source: Any) -> Heartbeat:
     return Heartbeat(
-        version=source.version,
+        version=StoreVersion(source.versionEra, source.version).encode(),
         digest=source.digest,
         freshness=Freshness(source.readAgeMs),
-        list_revision=source.listRevision,
+        list_revision=StoreVersion(
+            source.listRevisionEra, source.listRevision
+        ).encode(),
         version_in_force=source.versionInForce,
         sample=tuple(_read_member(member) for member in source.sample),
     )
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -19,6 +19,8 @@
   sample @3 :List(Member);
   listRevision @4 :UInt64;
   versionInForce @5 :UInt64;
+  versionEra @6 :UInt32;
+  listRevisionEra @7 :UInt32;
 }
 
 struct Push {
@@ -83,6 +85,8 @@
   rows @2 :List(TableRow);
   failedAgoMs @3 :UInt32;
   table @4 :Text;
+  afterEra @5 :UInt32;
+  versionEra @6 :UInt32;
 }
 
 struct Datagram {
