--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -184,6 +184,10 @@
         if version <= self.version:
             self._behind_since = None
             return
+        if not self.is_loaded and self.is_store_unavailable:
+            # Nothing can be served until the table is known.
+            self._fetch_if_behind(address, version)
+            return
         now = self._loop.clock.now()
         if self._behind_since is None:
             self._behind_since = now
--- a/src/galenaferry/discovery/tests/test_follower.py
+++ b/src/galenaferry/discovery/tests/test_follower.py
@@ -182,3 +182,11 @@
     bench.source.answer(table_update(4, True, era=7, config=b"one"))
     assert bench.restore_count == 0
     assert bench.follower.failed_at is None
+
+
+def test_a_vm_that_starts_while_the_store_is_away_asks_the_first_peer_at_once():
+    bench = FollowerBench()
+    bench.source.fail()
+    bench.follower.on_peer_version("10.0.0.2:7000", at(15))
+    bench.peer_fetches[0][1](Ok(table_update(15, True, config=b"two")))
+    assert bench.follower.value_by_key == {"config": b"two"}
--- a/src/galenaferry/membership/heartbeats.py
+++ b/src/galenaferry/membership/heartbeats.py
@@ -66,6 +66,13 @@
         for address in self._table.gossip_targets(self._settings.fanout, now):
             self._send(address, heartbeat)
 
+    def send_to_some(self, count: int) -> None:
+        """Send one heartbeat to some random members, live or not."""
+        now = self._loop.clock.now()
+        heartbeat = self._compose(self._table.sample(now))
+        for address in self._table.random_addresses(count):
+            self._send(address, heartbeat)
+
     def on_heartbeat(self, sender: Member, heartbeat: Heartbeat) -> None:
         """Merge the sender's entry and its sample; answer a new sender at once."""
         now = self._loop.clock.now()
--- a/src/galenaferry/membership/state.py
+++ b/src/galenaferry/membership/state.py
@@ -183,6 +183,11 @@
         """Return all known members except this VM, live or not."""
         return list(self._member_by_address.values())
 
+    def random_addresses(self, count: int) -> list[str]:
+        """Return the addresses of up to ``count`` random members, live or not."""
+        addresses = list(self._member_by_address)
+        return self._random.sample(addresses, min(count, len(addresses)))
+
     def gossip_targets(self, count: int, now: Millis) -> list[str]:
         """Return addresses of up to ``count`` random live members and one more.
 
--- a/src/galenaferry/membership/tests/test_heartbeats.py
+++ b/src/galenaferry/membership/tests/test_heartbeats.py
@@ -120,3 +120,13 @@
         fleet.run_for(500.0)
         smallest_views.append(min(fleet.live_counts()))
     assert min(smallest_views) >= size - 1
+
+
+def test_news_reaches_some_members_at_once_also_those_not_heard_of():
+    fleet = Fleet(40)
+    fleet.start(0)
+    vm = fleet.by_address[address(0)]
+    before = vm.sent
+    vm.heartbeats.send_to_some(4)
+    # A VM that has just started knows its three seeds only.
+    assert vm.sent - before == 3
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -67,6 +67,9 @@
 FIRST_START_DELAY_MS: Final = 3_000.0
 """Time after the first start of the fleet in which VMs find each other, so that a few
 of them read the tables for all. A request that arrives earlier ends it."""
+FIRST_LOAD_FANOUT: Final = 4
+"""Members that a VM tells at once that it knows the tables; each does the same, so that
+all of a fleet learn of it in a few steps."""
 CONFIGURATION_COALESCING_MS: Final = 100.0
 INSTANCES_COALESCING_MS: Final = 400.0
 """Changes within this time are read in one call. 400 ms is a fifth of the 2 s after
@@ -218,6 +221,7 @@
             self.requests.stop_accepting,
             settings.grace_period - BALANCER_DETECTION_MS - STOP_MARGIN_MS,
         ).register(self)
+        self._has_been_loaded = False
         self._metrics = self._make_metrics()
         status = StatusInterface(self.is_ready, self.dump, self._metrics.text)
         JsonServer(settings.readiness, status.respond).register(self)
@@ -366,6 +370,10 @@
             and self.placement.by_service
         ):
             self.loop.call_soon(startup_queue.release)
+            if not self._has_been_loaded:
+                self._has_been_loaded = True
+                # After an outage that all VMs started in, others still know nothing.
+                self._heartbeats.send_to_some(FIRST_LOAD_FANOUT)
 
     def _compose_heartbeat(self, sample: tuple[Member, ...]) -> Heartbeat:
         version = self.configuration.last_change_version.encode()
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -22,9 +22,14 @@
 from ..network.loop import Loop
 from .announcements import Announcements, Usability
 from .candidates import StaticCandidate, StaticCandidates
-from .decisions import PROBE_BELOW, Candidate, RequestProfile, choose_instance
-from .latency import LatencyTracker
+from .decisions import (
+    PROBE_BELOW,
+    Candidate,
+    RequestProfile,
+    choose_instance,
+)
 from .reachability import Reachability
+from .route_statistics import RouteStatistics
 
 USABLE_CONNECTION_FRACTION: Final = 0.9
 """Share of an instance's connections that the live VMs use; the rest is for VMs
@@ -39,17 +44,11 @@
 """Time after a failure for which an instance does not count toward the floor."""
 BROADCAST_SUCCESS_ABOVE: Final = 0.3
 """Sick probability above which a success is sent to the other VMs."""
-SLOW_FACTOR: Final = 2.0
-"""A response is overdue after this many times the 90th percentile of its route's
-latencies."""
 ABANDON_ABOVE: Final = 0.6
 """Sick probability above which an overdue attempt is abandoned for a retry."""
 ABANDON_AFTER_FACTOR: Final = 1.5
 """An attempt is abandoned for a retry after this many times the overdue time: three
 times the 90th percentile."""
-RESPONSE_SIZE_WEIGHT: Final = 0.2
-"""Weight of the latest response in the moving average of response sizes."""
-
 OUTCOME_BY_EVIDENCE: Final = {
     Evidence.SUCCESS: Outcome.GOOD,
     Evidence.FAILURE: Outcome.FAILED,
@@ -105,8 +104,7 @@
         self._name_by_key: dict[int, str] = {}
         self._instance_by_address: dict[str, Instance] = {}
         self._pool_by_name: dict[str, InstancePool] = {}
-        self._latency_tracker_by_route: dict[str, LatencyTracker] = {}
-        self._response_kb_by_route: dict[str, float] = {}
+        self._routes = RouteStatistics()
         self._borrowing = BorrowingPolicy()
         self._static_candidates = StaticCandidates(settings.zone)
         self.zone = settings.zone
@@ -155,7 +153,7 @@
         candidates = [self._candidate(static, now) for static in untried]
         profile = RequestProfile(
             is_idempotent=criteria.is_idempotent,
-            response_kb=self._response_kb_by_route.get(criteria.route, 1.0),
+            response_kb=self._routes.response_kb(criteria.route),
             floor=self.settings.floor,
         )
         return choose_instance(candidates, profile, self._random)
@@ -247,11 +245,9 @@
         now = self._loop.clock.now()
         if outcome is Outcome.GOOD:
             self._reachability.on_success(instance.name)
-            tracker = self._latency_tracker(route)
-            if 0.0 < SLOW_FACTOR * tracker.p90 < latency:
-                # ``on_overdue`` has counted this attempt as slow.
+            # ``on_overdue`` has counted an overdue attempt as slow.
+            if self._routes.record_latency(route, latency):
                 outcome = None
-            tracker.add(latency)
         elif outcome is Outcome.UNREACHABLE:
             self._reachability.on_failure(instance.name, now)
         if outcome is None:
@@ -300,11 +296,8 @@
             )
 
     def overdue_after(self, route: str, target_latency: Millis) -> Millis:
-        """Return the time in ms after which a response is overdue, 0 if unknown.
-
-        Until this VM has enough samples, it is ``target_latency``.
-        """
-        return SLOW_FACTOR * self._latency_tracker(route).p90 or target_latency
+        """Return the time in ms after which a response is overdue, 0 if unknown."""
+        return self._routes.overdue_after(route, target_latency)
 
     def on_overdue(self, instance: Instance) -> None:
         """Count an overdue response as evidence that the instance is sick."""
@@ -323,10 +316,7 @@
 
     def record_response_size(self, route: str, size: int) -> None:
         """Update the mean response size of a route; ``size`` is in bytes."""
-        previous_kb = self._response_kb_by_route.get(route, size / 1024.0)
-        self._response_kb_by_route[route] = previous_kb + RESPONSE_SIZE_WEIGHT * (
-            size / 1024.0 - previous_kb
-        )
+        self._routes.record_response_size(route, size)
 
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON data."""
@@ -379,12 +369,6 @@
     def _posterior(self, instance: Instance, now: Millis) -> Posterior:
         return self._posteriors.get(instance.name, now)
 
-    def _latency_tracker(self, route: str) -> LatencyTracker:
-        tracker = self._latency_tracker_by_route.get(route)
-        if tracker is None:
-            tracker = self._latency_tracker_by_route[route] = LatencyTracker()
-        return tracker
-
     def _queue_broadcast(self, instance_outcome: InstanceOutcome) -> None:
         if not self._queued_outcomes:
             self._loop.call_soon(self._flush_broadcast)
--- /dev/null
+++ b/src/galenaferry/placing/route_statistics.py
@@ -0,0 +1,54 @@
+"""Latencies and sizes of the responses of each route, as this VM sees them."""
+
+from typing import Final
+
+from ..clock import Millis
+from .latency import LatencyTracker
+
+SLOW_FACTOR: Final = 2.0
+"""A response is overdue after this many times the 90th percentile of its route's
+latencies."""
+RESPONSE_SIZE_WEIGHT: Final = 0.2
+"""Weight of the latest response in the moving average of response sizes."""
+DEFAULT_RESPONSE_KB: Final = 1.0
+"""Size of a response in KiB until one was seen."""
+
+
+class RouteStatistics:
+    """Statistics by the name of the route."""
+
+    def __init__(self) -> None:
+        self._latency_tracker_by_route: dict[str, LatencyTracker] = {}
+        self._response_kb_by_route: dict[str, float] = {}
+
+    def overdue_after(self, route: str, target_latency: Millis) -> Millis:
+        """Return the time in ms after which a response is overdue, 0 if unknown.
+
+        Until this VM has enough samples, it is ``target_latency``.
+        """
+        return SLOW_FACTOR * self._latency_tracker(route).p90 or target_latency
+
+    def record_latency(self, route: str, latency: Millis) -> bool:
+        """Add the latency of a success; return whether it was overdue."""
+        tracker = self._latency_tracker(route)
+        was_overdue = 0.0 < SLOW_FACTOR * tracker.p90 < latency
+        tracker.add(latency)
+        return was_overdue
+
+    def response_kb(self, route: str) -> float:
+        """Return the mean size of the responses in KiB."""
+        return self._response_kb_by_route.get(route, DEFAULT_RESPONSE_KB)
+
+    def record_response_size(self, route: str, size: int) -> None:
+        """Update the mean response size of a route; ``size`` is in bytes."""
+        kb = size / 1024.0
+        previous_kb = self._response_kb_by_route.get(route, kb)
+        self._response_kb_by_route[route] = previous_kb + RESPONSE_SIZE_WEIGHT * (
+            kb - previous_kb
+        )
+
+    def _latency_tracker(self, route: str) -> LatencyTracker:
+        tracker = self._latency_tracker_by_route.get(route)
+        if tracker is None:
+            tracker = self._latency_tracker_by_route[route] = LatencyTracker()
+        return tracker
