Bound the rows of a notice by their size, and learn the role before long polls

Cause: a notice carried up to ten rows of any size; a configuration of 64 KB would go in a datagram to each VM of a zone (3.8 MB from a reader on the large site) or, above that, be dropped. A VM that starts followed both tables by long polls until the first heartbeats told it that it is no reader. Change: notices carry at most 8 KB of rows; the first long poll of a shared table waits 400 ms. Tests: both in discovery/tests/test_shared_table.py.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -48,6 +48,11 @@
 NEWS_READ_TIMEOUT_MS: Final = 700.0
 """Time for a read of changes of which a notice told; a slow store responds in 240 ms.
 Afterwards the next notice, a second later at most, leads to a fetch from a peer."""
+MAX_NOTICE_BYTES: Final = 8_192
+"""Largest size of the rows in a notice. A reader sends it to all VMs of its zone: half
+a megabyte to 58 of them, 0.4 s on a link of 10 Mbit/s."""
+ROLE_DELAY_MS: Final = 400.0
+"""Time after a VM's first read in which heartbeats tell it whether it is a reader."""
 PEER_FETCH_DELAY_MS: Final = 250.0
 """Time in which the VM's own read should return changes that another VM has."""
 
@@ -358,6 +363,7 @@
                 self._read()
             case TableUpdate() as update:
                 self._needs_full_read = False
+                is_first = not self.is_loaded
                 # The notice starts at ``last_change_version``, which ``_apply`` sets.
                 self._broadcast_update(update)
                 self._apply(update)
@@ -367,9 +373,10 @@
                     # It was read once for news of it.
                     self._stop_reading()
                     return
-                self._schedule_read(
-                    self._settings.coalescing_delay if update.rows else 0.0
-                )
+                delay = self._settings.coalescing_delay if update.rows else 0.0
+                if is_first and self._settings.is_shared:
+                    delay = max(delay, ROLE_DELAY_MS)
+                self._schedule_read(delay)
 
     def _broadcast_update(self, update: TableUpdate) -> None:
         """Broadcast the rows that were read, or only the version of a large update."""
@@ -377,7 +384,12 @@
             self._settings.is_shared and update.rows and self._is_designated_reader()
         ):
             return
-        fits_notice = not update.is_snapshot and len(update.rows) <= MAX_NOTICE_ROWS
+        size = sum(len(row.value or b"") for row in update.rows)
+        fits_notice = (
+            not update.is_snapshot
+            and len(update.rows) <= MAX_NOTICE_ROWS
+            and size <= MAX_NOTICE_BYTES
+        )
         rows = update.rows if fits_notice else ()
         self._broadcast(self._make_notice(update.version, rows))
 
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -6,6 +6,7 @@
 import pytest
 from result import Err, Ok
 
+from galenaferry.discovery.follower import ROLE_DELAY_MS
 from galenaferry.discovery.history import TableHistory
 from galenaferry.discovery.messages import TableError, TableNotice, TableRow
 from galenaferry.discovery.readers import (
@@ -288,3 +289,23 @@
     bench.source.answer(table_update(9, True, config=b"one"))
     bench.follower.end_startup_delay()
     assert len(bench.source.calls) == 1
+
+
+def test_large_rows_are_not_sent_in_notices():
+    # A configuration of 64 KB in a datagram to each VM of a zone would fill small links
+    # for seconds, and a larger one would not fit.
+    bench = FollowerBench(is_shared=True)
+    bench.source.answer(table_update(10, True, config=b"one"))
+    bench.run_for(ROLE_DELAY_MS + 5.0)
+    bench.source.answer(table_update(12, config=b"x" * 60_000))
+    assert bench.notices[-1] == TableNotice(
+        at(10), at(12), (), bench.notices[-1].failed_ago, "op"
+    )
+
+
+def test_a_started_vm_learns_its_role_before_it_waits_for_changes():
+    bench = FollowerBench(is_shared=True)
+    bench.source.answer(table_update(10, True, config=b"one"))
+    bench.is_designated_reader = False
+    deliver_notices(bench, 3_000.0)
+    assert [call[0] for call in bench.source.calls] == ["all"]
