--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -11,16 +11,10 @@
 from ..backends.messages import Instance
 from ..backends.ownership import Vm
 from ..clock import Millis
-from ..discovery.follower import FollowerSettings, TableFollower
 from ..discovery.messages import (
-    StoreVersion,
     TableNotice,
-    TableRow,
-    decode_version,
 )
-from ..discovery.peer_updates import fetch_from_peer, respond_to_peer
 from ..discovery.readers import is_reader
-from ..discovery.registry import StoreAvailability
 from ..drain.component import DrainComponent
 from ..health.messages import Outcomes, Report, Verdicts
 from ..logs import logger
@@ -41,17 +35,12 @@
 from ..spreading.messages import GossipMessage
 from .adapter import Adapter
 from .broadcasts import Broadcasts
-from .configuration import (
-    IN_FORCE_TABLE,
-    ConfigurationUpdater,
-    PeerConfigurations,
-)
-from .instances import InstanceUpdater
 from .metrics import Gauges, NodeMetrics
 from .pauses import PauseGuard
 from .reload import ReadSettings, SettingsReloader
 from .settings import NodeSettings
 from .status import StatusInterface
+from .tables import FleetAccess, TableListeners, Tables
 from .vm_register import VmRegister
 
 HEARTBEAT_SETTINGS: Final = HeartbeatSettings(interval=1_000.0, fanout=2)
@@ -64,16 +53,9 @@
 complete views of their members (``membership/tests/test_heartbeats.py``)."""
 CAPACITY_SHARE_INTERVAL_MS: Final = 500.0
 """Interval at which slots and connections are divided among the live VMs."""
-FIRST_START_DELAY_MS: Final = 3_000.0
-"""Time after the first start of the fleet in which VMs find each other, so that a few
-of them read the tables for all. A request that arrives earlier ends it."""
 FIRST_LOAD_FANOUT: Final = 4
 """Members that a VM tells at once that it knows the tables; each does the same, so that
 all of a fleet learn of it in a few steps."""
-CONFIGURATION_COALESCING_MS: Final = 100.0
-INSTANCES_COALESCING_MS: Final = 400.0
-"""Changes within this time are read in one call. 400 ms is a fifth of the 2 s after
-which a draining instance must get no new requests (``NodeSettings.drain_timeout``)."""
 BALANCER_DETECTION_MS: Final = 3_000.0
 """Time in which the load balancer notices that this VM is no longer ready: two
 readiness checks, one second apart, plus their timeout."""
@@ -137,48 +119,21 @@
             self._broadcasts.send_outcomes,
         )
         self.routes = HostRouteTable(int(settings.budget.ratio * 100.0), random)
-        startup_delay = FIRST_START_DELAY_MS if settings.is_first_start else 0.0
-        self.configuration = TableFollower(
-            loop,
-            FollowerSettings(
-                adapter.tables.configuration,
-                CONFIGURATION_COALESCING_MS,
-                is_shared=True,
-                is_news_read_from_store=True,
-                startup_delay=startup_delay,
-            ),
-            adapter.store,
-            self._fetch_from_peer,
-            random,
-            self._on_configuration_rows,
-            self._is_designated_reader,
-            self._broadcasts.send_notice,
-            on_restored=lambda: self._register.on_restored(),
-        )
-        self._configuration_updater = ConfigurationUpdater(adapter, self.routes)
-        self._peer_configurations = PeerConfigurations(
-            loop,
-            self._fetch_from_peer,
-            lambda: self.routes.version,
-            self._on_configuration_rows,
-        )
-        instance_updater = InstanceUpdater(
-            loop, adapter, self._store_availability, self._on_instances
+        self._register = VmRegister(
+            loop, adapter.store, adapter.tables.vms, settings.name, self.table, random
         )
-        self.instances = TableFollower(
+        self.tables = Tables(
             loop,
-            FollowerSettings(
-                adapter.tables.instances,
-                INSTANCES_COALESCING_MS,
-                is_shared=True,
-                startup_delay=startup_delay,
+            adapter,
+            self.routes,
+            FleetAccess(self._is_designated_reader, self._broadcasts.send_notice),
+            TableListeners(
+                self._on_instances,
+                self._release_startup_queue_if_ready,
+                self._register.on_restored,
             ),
-            adapter.store,
-            self._fetch_from_peer,
             random,
-            instance_updater.on_change,
-            self._is_designated_reader,
-            self._broadcasts.send_notice,
+            settings.is_first_start,
         )
         self._heartbeats = Heartbeats(
             loop,
@@ -209,7 +164,9 @@
             limits=lambda: self.routes.limits,
             retry_after=self._retry_after,
             overdue_policy=self.placement,
-            startup_queue=StartupQueue(loop, on_first_request=self._on_first_request),
+            startup_queue=StartupQueue(
+                loop, on_first_request=self.tables.end_startup_delay
+            ),
             on_request_finished=self._on_request_finished,
         )
         self.requests = RequestsComponent(self.context, settings.callers).register(self)
@@ -228,15 +185,7 @@
         if metrics_port:
             address = (settings.readiness[0], metrics_port)
             JsonServer(address, status.respond).register(self)
-        update_since_by_table = {
-            adapter.tables.configuration: self.configuration.update_since,
-            adapter.tables.instances: self.instances.update_since,
-            IN_FORCE_TABLE: self._configuration_updater.update_in_force,
-        }
-        JsonServer(
-            settings.peers,
-            lambda request: respond_to_peer(update_since_by_table, request),
-        ).register(self)
+        JsonServer(settings.peers, self.tables.respond_to_peer).register(self)
         loop.every(CAPACITY_SHARE_INTERVAL_MS, self._share_capacity)
         self._reload = SettingsReloader(
             loop, settings, read_settings, self._apply_settings
@@ -245,18 +194,14 @@
         signal.signal(
             signal.SIGHUP, lambda number, frame: loop.call_soon(self._reload.check)
         )
-        self._register = VmRegister(
-            loop, adapter.store, adapter.tables.vms, settings.name, self.table, random
-        )
         self._register.begin(settings.is_first_start)
         PauseGuard(
             loop,
             self.context,
-            (self.configuration, self.instances),
+            self.tables.followers,
             lambda: self.context.is_stopping,
         )
-        self.configuration.begin()
-        self.instances.begin()
+        self.tables.begin()
 
     def is_ready(self) -> tuple[bool, str]:
         """Return whether requests can be served, and the reason if not."""
@@ -264,7 +209,7 @@
             return False, "stopping"
         if not self.routes.version:
             return False, "no configuration is known yet"
-        if not self.instances.is_loaded:
+        if not self.tables.instances.is_loaded:
             return False, "the instances are not known yet"
         return True, "ready"
 
@@ -279,18 +224,9 @@
                 "ready": is_ready,
                 "reason": reason,
             },
-            "configuration": {
-                "version": self.routes.version,
-                "store_version": self.configuration.version.counter,
-                "store_era": self.configuration.version.era,
-                "store_away": self.configuration.is_store_unavailable,
-            },
-            "instances": {
-                "store_version": self.instances.version.counter,
-                "store_era": self.instances.version.era,
-                "store_away": self.instances.is_store_unavailable,
-                "by_service": self.placement.dump(),
-            },
+            "configuration": self.tables.dump_configuration(),
+            "instances": self.tables.dump_instances()
+            | {"by_service": self.placement.dump()},
             "members": sorted(m.address for m in self.table.live(now)),
             "peers": self.peers.dump(),
         }
@@ -298,10 +234,7 @@
     def on_heartbeat(self, sender: Member, heartbeat: Heartbeat) -> None:
         """Update the membership and catch up with the sender's tables if needed."""
         self._heartbeats.on_heartbeat(sender, heartbeat)
-        address = sender.address
-        self.configuration.on_peer_version(address, decode_version(heartbeat.version))
-        self.instances.on_peer_version(address, decode_version(heartbeat.list_revision))
-        self._peer_configurations.on_peer_version(address, heartbeat.version_in_force)
+        self.tables.on_heartbeat(sender.address, heartbeat)
 
     def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
         """Handle outcomes of attempts that another VM observed."""
@@ -336,28 +269,12 @@
     def on_table_notice(self, sender: Member, notice: TableNotice) -> None:
         """Handle changes of a table that another VM has read."""
         self.table.merge(sender, self.loop.clock.now())
-        is_configuration = notice.table == self._adapter.tables.configuration
-        follower = self.configuration if is_configuration else self.instances
-        follower.on_notice(sender.address, notice)
+        self.tables.on_notice(sender.address, notice)
 
     def _is_designated_reader(self) -> bool:
         live = self.table.live_in_region(self.loop.clock.now())
         return is_reader(self.table.me, live)
 
-    def _fetch_from_peer(
-        self, address: str, table: str, after: StoreVersion, done: Any
-    ) -> None:
-        fetch_from_peer(self.loop, address, table, after, done)
-
-    def _store_availability(self) -> StoreAvailability:
-        return StoreAvailability(
-            self.instances.is_store_unavailable, self.instances.failed_at
-        )
-
-    def _on_configuration_rows(self, rows: tuple[TableRow, ...]) -> None:
-        self._configuration_updater.on_change(rows)
-        self._release_startup_queue_if_ready()
-
     def _on_instances(self, instances: tuple[Instance, ...]) -> None:
         self.placement.replace_instances(instances)
         self._release_startup_queue_if_ready()
@@ -376,21 +293,13 @@
                 self._heartbeats.send_to_some(FIRST_LOAD_FANOUT)
 
     def _compose_heartbeat(self, sample: tuple[Member, ...]) -> Heartbeat:
-        version = self.configuration.last_change_version.encode()
-        is_store_unavailable = (
-            self.configuration.is_store_unavailable
-            or self.instances.is_store_unavailable
-        )
-        self.table.advance_own_entry(version, is_store_unavailable)
         # Both versions are those of the store at the latest change of the table. No
         # node reads the digest or the freshness.
+        version = self.tables.configuration.last_change_version.encode()
+        list_revision = self.tables.instances.last_change_version.encode()
+        self.table.advance_own_entry(version, self.tables.is_store_unavailable)
         return Heartbeat(
-            version,
-            "",
-            Freshness(0),
-            self.instances.last_change_version.encode(),
-            sample,
-            self.routes.version,
+            version, "", Freshness(0), list_revision, sample, self.routes.version
         )
 
     def _own_member(self) -> Member:
@@ -431,8 +340,8 @@
         now = self.loop.clock.now
         gauges = Gauges(
             configuration_version=lambda: self.routes.version,
-            instances_version=lambda: self.instances.version.counter,
-            is_store_away=lambda: float(self.instances.is_store_unavailable),
+            instances_version=lambda: self.tables.instances.version.counter,
+            is_store_away=lambda: float(self.tables.instances.is_store_unavailable),
             live_members=lambda: len(self.table.live(now())),
             requests_in_flight=lambda: self.requests.in_flight,
             datagrams_sent=lambda: self.peers.dump()["datagrams_sent"],
@@ -452,10 +361,6 @@
             "request", is_minor=summary.is_single_attempt_success, **fields
         )
 
-    def _on_first_request(self) -> None:
-        for follower in (self.configuration, self.instances):
-            follower.end_startup_delay()
-
     def _on_drain_announced(self) -> None:
         self.context.is_stopping = True
         self.table.me = self.table.me._replace(is_leaving=True)
--- /dev/null
+++ b/src/galenaferry/node/tables.py
@@ -0,0 +1,201 @@
+"""The tables of the platform's store that a VM follows, and what it derives of them."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, Final, NamedTuple
+
+from ..backends.messages import Instance
+from ..discovery.follower import FollowerSettings, TableFollower
+from ..discovery.messages import (
+    StoreVersion,
+    TableNotice,
+    TableRow,
+    decode_version,
+)
+from ..discovery.peer_updates import fetch_from_peer, respond_to_peer
+from ..discovery.registry import StoreAvailability
+from ..membership.messages import Heartbeat
+from ..network.json_server import JsonRequest, JsonResponse
+from ..network.loop import Loop
+from ..routing.hosts import HostRouteTable
+from .adapter import Adapter
+from .configuration import IN_FORCE_TABLE, ConfigurationUpdater, PeerConfigurations
+from .instances import InstanceUpdater
+
+FIRST_START_DELAY_MS: Final = 3_000.0
+"""Time after the first start of the fleet in which VMs find each other, so that a few
+of them read the tables for all. A request that arrives earlier ends it."""
+CONFIGURATION_COALESCING_MS: Final = 100.0
+INSTANCES_COALESCING_MS: Final = 400.0
+"""Changes within this time are read in one call. 400 ms is a fifth of the 2 s after
+which a draining instance must get no new requests (``NodeSettings.drain_timeout``)."""
+
+
+class FleetAccess(NamedTuple):
+    """How the tables reach the other VMs.
+
+    ``is_designated_reader`` says whether this VM reads the tables for its zone, and
+    ``send_notice`` sends news of a table to that zone.
+    """
+
+    is_designated_reader: Callable[[], bool]
+    send_notice: Callable[[TableNotice], None]
+
+
+class TableListeners(NamedTuple):
+    """Functions that are called after changes.
+
+    ``on_instances`` gets all instances in use, ``on_configuration`` is called after a
+    change of the configuration and ``on_restored`` after the store was restored from an
+    older copy.
+    """
+
+    on_instances: Callable[[tuple[Instance, ...]], None]
+    on_configuration: Callable[[], None]
+    on_restored: Callable[[], None]
+
+
+class Tables:
+    """Copies of the configuration's and the instances' table.
+
+    Parameters
+    ----------
+    loop : Loop
+    adapter : Adapter
+    routes : HostRouteTable
+        Gets each newer configuration.
+    fleet : FleetAccess
+    listeners : TableListeners
+    random : Random
+    is_first_start : bool
+        Whether the fleet as a whole starts for the first time.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        adapter: Adapter,
+        routes: HostRouteTable,
+        fleet: FleetAccess,
+        listeners: TableListeners,
+        random: Random,
+        is_first_start: bool,
+    ) -> None:
+        self._loop = loop
+        self._names = adapter.tables
+        self._routes = routes
+        self._listeners = listeners
+        self._configuration_updater = ConfigurationUpdater(adapter, routes)
+        instance_updater = InstanceUpdater(
+            loop, adapter, self._instances_availability, listeners.on_instances
+        )
+        startup_delay = FIRST_START_DELAY_MS if is_first_start else 0.0
+        self.configuration = TableFollower(
+            loop,
+            FollowerSettings(
+                adapter.tables.configuration,
+                CONFIGURATION_COALESCING_MS,
+                is_shared=True,
+                is_news_read_from_store=True,
+                startup_delay=startup_delay,
+            ),
+            adapter.store,
+            self._fetch_from_peer,
+            random,
+            self._on_configuration_rows,
+            fleet.is_designated_reader,
+            fleet.send_notice,
+            listeners.on_restored,
+        )
+        self.instances = TableFollower(
+            loop,
+            FollowerSettings(
+                adapter.tables.instances,
+                INSTANCES_COALESCING_MS,
+                is_shared=True,
+                startup_delay=startup_delay,
+            ),
+            adapter.store,
+            self._fetch_from_peer,
+            random,
+            instance_updater.on_change,
+            fleet.is_designated_reader,
+            fleet.send_notice,
+        )
+        self._peer_configurations = PeerConfigurations(
+            loop,
+            self._fetch_from_peer,
+            lambda: routes.version,
+            self._on_configuration_rows,
+        )
+        self._update_since_by_table = {
+            adapter.tables.configuration: self.configuration.update_since,
+            adapter.tables.instances: self.instances.update_since,
+            IN_FORCE_TABLE: self._configuration_updater.update_in_force,
+        }
+
+    @property
+    def followers(self) -> tuple[TableFollower, TableFollower]:
+        """The followers of both tables."""
+        return self.configuration, self.instances
+
+    @property
+    def is_store_unavailable(self) -> bool:
+        """Whether this VM's reads from the store fail."""
+        return any(follower.is_store_unavailable for follower in self.followers)
+
+    def begin(self) -> None:
+        """Start to follow the tables."""
+        for follower in self.followers:
+            follower.begin()
+
+    def end_startup_delay(self) -> None:
+        """Read the tables now, if nothing is known of them yet."""
+        for follower in self.followers:
+            follower.end_startup_delay()
+
+    def on_heartbeat(self, address: str, heartbeat: Heartbeat) -> None:
+        """Catch up with the tables of the VM at ``address`` if needed."""
+        self.configuration.on_peer_version(address, decode_version(heartbeat.version))
+        self.instances.on_peer_version(address, decode_version(heartbeat.list_revision))
+        self._peer_configurations.on_peer_version(address, heartbeat.version_in_force)
+
+    def on_notice(self, address: str, notice: TableNotice) -> None:
+        """Handle news of a table that the VM at ``address`` has read."""
+        is_configuration = notice.table == self._names.configuration
+        follower = self.configuration if is_configuration else self.instances
+        follower.on_notice(address, notice)
+
+    def respond_to_peer(self, request: JsonRequest) -> JsonResponse:
+        """Answer another VM's request for a table."""
+        return respond_to_peer(self._update_since_by_table, request)
+
+    def dump_configuration(self) -> dict[str, Any]:
+        """Return the state of the configuration's table as JSON data."""
+        return {"version": self._routes.version} | _dump(self.configuration)
+
+    def dump_instances(self) -> dict[str, Any]:
+        """Return the state of the instances' table as JSON data."""
+        return _dump(self.instances)
+
+    def _on_configuration_rows(self, rows: tuple[TableRow, ...]) -> None:
+        self._configuration_updater.on_change(rows)
+        self._listeners.on_configuration()
+
+    def _instances_availability(self) -> StoreAvailability:
+        return StoreAvailability(
+            self.instances.is_store_unavailable, self.instances.failed_at
+        )
+
+    def _fetch_from_peer(
+        self, address: str, table: str, after: StoreVersion, done: Any
+    ) -> None:
+        fetch_from_peer(self._loop, address, table, after, done)
+
+
+def _dump(follower: TableFollower) -> dict[str, Any]:
+    return {
+        "store_version": follower.version.counter,
+        "store_era": follower.version.era,
+        "store_away": follower.is_store_unavailable,
+    }
