--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: venv test demo demo-check soak soak-check bench capacity format
+.PHONY: venv test demo demo-check soak soak-check bench bench-check capacity format
 
 VENV := .venv
 PYTHON := $(VENV)/bin/python
@@ -42,5 +42,13 @@
 	$(PYTHON) benches/detection.py
 	$(PYTHON) benches/placing.py
 
+# Small sizes, to see that each bench still runs; the figures mean nothing.
+bench-check: venv
+	$(PYTHON) benches/parsing.py
+	$(PYTHON) benches/requests.py --bookings 200 --vms 3 --seconds 0.05 --failing 300
+	$(PYTHON) benches/spreading.py --nodes 40 --changes 2
+	$(PYTHON) benches/detection.py --part errors --traces 1 --processes 2
+	$(PYTHON) benches/placing.py --seeds 1
+
 capacity: venv
 	$(PYTHON) benches/capacity.py
--- a/benches/detection.py
+++ b/benches/detection.py
@@ -360,8 +360,8 @@
         if arguments.part in ("errors", "all"):
             print_error_detection(pool, arguments.traces)
         if arguments.part in ("others", "all"):
-            print_other_faults(pool, arguments.traces // 4)
-            print_baseline(arguments.traces // 4)
+            print_other_faults(pool, max(1, arguments.traces // 4))
+            print_baseline(max(1, arguments.traces // 4))
         if arguments.part in ("healthy", "all"):
             print_false_ejections(pool, arguments.days)
     print(f"\n{time.monotonic() - started:.0f} s")
--- a/benches/placing.py
+++ b/benches/placing.py
@@ -21,7 +21,6 @@
 from galenaferry.placing.component import Placement, PlacementSettings
 from galenaferry.placing.tests.simulation import Scenario, simulate
 
-SEEDS = range(1, 9)
 # A spell is a period in which an instance is sick; two labels state its mean length.
 # With "nothing heard of others" the VMs don't share the outcomes of their attempts.
 SCENARIO_BY_LABEL = {
@@ -75,7 +74,9 @@
 
 
 def main():
-    argparse.ArgumentParser(description=__doc__).parse_args()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=8)
+    seeds = range(1, parser.parse_args().seeds + 1)
     for count in (16, 64, 127):
         print(f"a choice among {count:3} instances: {choice_time_us(count):6.0f} us")
     print(
@@ -84,9 +85,9 @@
     )
     for label, scenario in SCENARIO_BY_LABEL.items():
         random_results = [
-            simulate(scenario, seed, is_random_choice=True) for seed in SEEDS
+            simulate(scenario, seed, is_random_choice=True) for seed in seeds
         ]
-        placement_results = [simulate(scenario, seed) for seed in SEEDS]
+        placement_results = [simulate(scenario, seed) for seed in seeds]
         requests = sum(result.requests for result in placement_results)
         random_failure_rate = sum(r.failed for r in random_results) / sum(
             r.requests for r in random_results
--- a/benches/requests.py
+++ b/benches/requests.py
@@ -329,13 +329,12 @@
     sys.stdout.flush()
 
 
-def print_total_failure(vm_count: int) -> None:
+def print_total_failure(vm_count: int, request_count: int) -> None:
     """Print the attempts per request while every backend server always fails."""
     for is_baseline in (False, True):
         modes = [BackendMode(error_part=1.0, work_ms=5.0) for _ in range(16)]
         settings = {"max_attempts": "4"} if is_baseline else {}
         simulation = RequestSimulation(vm_count, modes, settings, is_baseline)
-        request_count = 20_000
         simulation.run(request_count, 2000.0, "GET")
         policy = "plain" if is_baseline else "fleet"
         print(
@@ -348,6 +347,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--bookings", type=int, default=100_000)
     parser.add_argument("--vms", type=int, default=40)
+    parser.add_argument("--failing", type=int, default=20_000)
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--part", choices=("truth", "load", "all"), default="all")
     arguments = parser.parse_args()
@@ -356,7 +356,7 @@
     if arguments.part == "truth":
         return
     print_load(arguments.vms, arguments.seconds)
-    print_total_failure(arguments.vms)
+    print_total_failure(arguments.vms, arguments.failing)
 
 
 if __name__ == "__main__":
