Let the readers of different zones tell each other of changes

Connections of 15 VMs had gone silent two seconds before; with readers that tell only their own zone, a zone whose two readers wait on silent connections learns from heartbeats alone. Ruled out: shorter long polls, which cost calls of all readers for a rare case; more readers a zone, which a reset of a zone's connections meets just so. Change: notices go to the readers of the other zones too (four datagrams at three zones). A reader whose own read has not returned told changes within 250 ms reads again, and tells its zone. Tests: three in discovery/tests/test_shared_table.py fail without it.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -147,6 +147,8 @@
         self._behind_since: Millis | None = None
         self._timer: Timer | None = None
         self.version = NO_VERSION
+        # Version of the latest result of this VM's own reads.
+        self._read_version = NO_VERSION
         # The store's version grows with changes of any table. This one grows only with
         # changes of this table; it is announced, so that other VMs fetch only then.
         self.last_change_version = NO_VERSION
@@ -206,13 +208,17 @@
     def on_notice(self, address: str, notice: TableNotice) -> None:
         """Apply a reader's notice, or fetch from the reader what is missing.
 
-        Nothing is fetched while this VM reads the table itself.
+        A VM that reads the table itself fetches only if its read is late.
         """
         now = self._reader_seen_at = self._loop.clock.now()
         if notice.failed_ago < NEVER_FAILED_MS:
             self.failed_at = max(self.failed_at or 0.0, now - notice.failed_ago)
         if notice.version <= self.version:
             return
+        if self._is_reading:
+            self._loop.after(
+                PEER_FETCH_DELAY_MS, lambda: self._check_own_read(address, notice)
+            )
         if (
             notice.rows
             and notice.after <= self.version
@@ -222,6 +228,29 @@
         elif not self._is_reading:
             self._catch_up(address, notice.version)
 
+    def _check_own_read(self, address: str, notice: TableNotice) -> None:
+        """Replace a read that has missed what another reader's notice told.
+
+        Its connection may be dead. As other VMs rely on this one, they are told.
+        """
+        if not self._is_reading or self._read_version >= notice.version:
+            return
+        if self.version < notice.version:
+            self._fetch_if_behind(address, notice.version)
+            return
+        log.warning(
+            "the read from the store missed changes; reading again",
+            table=self._settings.table,
+            read_version=tuple(self._read_version),
+            version=tuple(notice.version),
+        )
+        self._forward(notice)
+        self._read()
+
+    def _forward(self, notice: TableNotice) -> None:
+        if self._settings.is_shared and self._is_designated_reader():
+            self._broadcast(notice)
+
     def _catch_up(self, address: str, version: StoreVersion) -> None:
         """Read news from the store, or from a peer if that has just failed."""
         if self._settings.is_news_read_from_store and not self._has_news_read_failed:
@@ -322,6 +351,8 @@
         )
         self._behind_since = None
         has_changed = self._apply(update)
+        if has_changed and self._is_reading:
+            self._forward(self._make_notice(update.version, ()))
         if has_changed and self._is_reading and not self.is_store_unavailable:
             # The pending read missed these changes: its connection may be dead.
             self._read()
@@ -363,6 +394,7 @@
                 self._read()
             case TableUpdate() as update:
                 self._needs_full_read = False
+                self._read_version = update.version
                 is_first = not self.is_loaded
                 # The notice starts at ``last_change_version``, which ``_apply`` sets.
                 self._broadcast_update(update)
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -309,3 +309,45 @@
     bench.is_designated_reader = False
     deliver_notices(bench, 3_000.0)
     assert [call[0] for call in bench.source.calls] == ["all"]
+
+
+def make_reader():
+    bench = FollowerBench(is_shared=True)
+    bench.source.answer(table_update(10, True, config=b"one"))
+    bench.run_for(ROLE_DELAY_MS + 5.0)
+    bench.notices.clear()
+    return bench
+
+
+def test_a_reader_whose_read_is_silent_learns_from_another_and_tells_its_zone():
+    # All connections of a zone's readers to the store may go silent at once.
+    bench = make_reader()
+    calls = len(bench.source.calls)
+    bench.follower.on_notice("10.0.9.1:7000", TableNotice(at(10), at(12), TWO))
+    assert bench.changes[-1] == TWO
+    bench.run_for(300.0)
+    assert [(n.version, n.rows) for n in bench.notices if n.rows] == [(at(12), TWO)]
+    assert len(bench.source.calls) == calls + 1
+    assert bench.source.calls[-1][:2] == ("changes", at(12))
+
+
+def test_it_fetches_what_came_without_rows():
+    bench = make_reader()
+    bench.follower.on_notice("10.0.9.1:7000", TableNotice(at(12), at(12), ()))
+    bench.run_for(300.0)
+    address, done = bench.peer_fetches[0]
+    assert address == "10.0.9.1:7000"
+    done(Ok(table_update(12, config=b"two")))
+    assert bench.changes[-1] == TWO
+    assert bench.notices[-1].version == at(12)
+
+
+def test_a_reader_whose_read_works_repeats_nothing():
+    bench = make_reader()
+    calls = len(bench.source.calls)
+    bench.follower.on_notice("10.0.9.1:7000", TableNotice(at(10), at(12), TWO))
+    bench.source.answer(table_update(12, config=b"two"))
+    bench.run_for(300.0)
+    assert len([n for n in bench.notices if n.rows]) == 1
+    assert len(bench.source.calls) == calls + 1
+    assert bench.peer_fetches == []
--- a/src/galenaferry/node/broadcasts.py
+++ b/src/galenaferry/node/broadcasts.py
@@ -2,9 +2,9 @@
 
 Bytes between zones are expensive, and a datagram for each outcome to each of hundreds
 of VMs is too much work for small ones, mostly for their receivers. News of a table goes
-to the VM's own zone only, as each zone has its own readers. Outcomes go to the hubs of
-each zone, two of its VMs that gather them for some milliseconds and send them on within
-the zone.
+to the VM's own zone and to the readers of the others. Outcomes go to the hubs of each
+zone, two of its VMs that gather them for some milliseconds and send them on within the
+zone.
 """
 
 from collections.abc import Iterable
@@ -58,8 +58,15 @@
         self._hubs_expire_at: Millis = 0.0
 
     def send_notice(self, notice: TableNotice) -> None:
-        """Send news of a table to the VMs of this zone."""
-        self._peers.send_to_all(_addresses(self._own_zone()), notice)
+        """Send news of a table to the VMs of this zone and the hubs of the others.
+
+        The hubs of a zone are its readers. They tell each other, since the connections
+        of all readers of one zone may have gone silent.
+        """
+        addresses = dict.fromkeys(_addresses(self._own_zone()))
+        addresses |= dict.fromkeys(self._find_hubs())
+        addresses.pop(self._members.me.address, None)
+        self._peers.send_to_all(list(addresses), notice)
 
     def send_outcomes(self, rows: tuple[InstanceOutcome, ...]) -> None:
         """Send outcomes that this VM has seen to all VMs of the region."""
