Keep removed instances for a grace period only after an outage of the store

The store itself had not been away. Change: a single failed read is repeated at once and says nothing of the store; two in a row are an outage. Tests: two in discovery/tests/test_follower.py fail on the earlier code.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -40,6 +40,8 @@
 rejected calls too. It is short enough because, of many VMs that each retry every two
 seconds, one detects the end of an outage at once and its heartbeats inform the others.
 """
+ERRORS_OF_OUTAGE: Final = 2
+"""Failed reads in a row from which the store counts as away."""
 READER_CHECK_INTERVAL_MS: Final = 250.0
 """Interval at which a VM checks whether it has to read a shared table itself."""
 MAX_NOTICE_ROWS: Final = 10
@@ -149,11 +151,12 @@
         self.version = NO_VERSION
         # Version of the latest result of this VM's own reads.
         self._read_version = NO_VERSION
+        self._error_count = 0
         # The store's version grows with changes of any table. This one grows only with
         # changes of this table; it is announced, so that other VMs fetch only then.
         self.last_change_version = NO_VERSION
         self.value_by_key: dict[str, bytes] = {}
-        # Latest failed read from the store, by this VM or as a reader's notice says.
+        # Latest failed read in an outage, by this VM or as a reader's notice says.
         self.failed_at: Millis | None = None
         self.is_store_unavailable = False
 
@@ -162,6 +165,14 @@
         """Whether the table was read at least once, from the store or another VM."""
         return self.version > NO_VERSION
 
+    @property
+    def is_outage_confirmed(self) -> bool:
+        """Whether the store itself seems to be away, and not only a connection to it.
+
+        A read whose connection was reset is repeated at once on a new one.
+        """
+        return self._error_count >= ERRORS_OF_OUTAGE
+
     def begin(self) -> None:
         """Start reading the table, and the timers of a shared one."""
         delay = self._settings.startup_delay
@@ -293,6 +304,7 @@
 
     def _stop_reading(self) -> None:
         self._is_reading = False
+        self._error_count = 0
         self.is_store_unavailable = False
         # Ignore the result of the pending read.
         self._read_number += 1
@@ -382,6 +394,7 @@
             return
         if self.is_store_unavailable:
             self.is_store_unavailable = False
+            self._error_count = 0
             log.info("store is available again", table=self._settings.table)
         self._backoff = INITIAL_BACKOFF_MS
         match result.ok_value:
@@ -426,7 +439,9 @@
         self._broadcast(self._make_notice(update.version, rows))
 
     def _on_error(self, error: TableError) -> None:
-        self.failed_at = self._loop.clock.now()
+        self._error_count += 1
+        if self.is_outage_confirmed:
+            self.failed_at = self._loop.clock.now()
         if not self.is_store_unavailable:
             self.is_store_unavailable = True
             log.warning(
--- a/src/galenaferry/discovery/tests/test_follower.py
+++ b/src/galenaferry/discovery/tests/test_follower.py
@@ -190,3 +190,26 @@
     bench.follower.on_peer_version("10.0.0.2:7000", at(15))
     bench.peer_fetches[0][1](Ok(table_update(15, True, config=b"two")))
     assert bench.follower.value_by_key == {"config": b"two"}
+
+
+def test_a_reset_connection_is_no_outage_of_the_store():
+    # Rows that are removed soon after it have not lapsed: their instances have left.
+    bench = make_loaded_bench()
+    bench.source.fail()
+    assert not bench.follower.is_outage_confirmed
+    bench.run_for(200.0)
+    bench.source.answer(table_update(12, config=b"two"))
+    assert bench.follower.failed_at is None
+
+
+def test_reads_that_fail_again_are_an_outage_until_one_succeeds():
+    bench = make_loaded_bench()
+    bench.source.fail()
+    bench.run_for(200.0)
+    bench.source.fail()
+    assert bench.follower.is_outage_confirmed
+    assert bench.follower.failed_at == bench.clock.now()
+    bench.run_for(400.0)
+    bench.source.answer(table_update(12, config=b"two"))
+    assert not bench.follower.is_outage_confirmed
+    assert bench.follower.failed_at is not None
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -184,7 +184,7 @@
 
     def _instances_availability(self) -> StoreAvailability:
         return StoreAvailability(
-            self.instances.is_store_unavailable, self.instances.failed_at
+            self.instances.is_outage_confirmed, self.instances.failed_at
         )
 
     def _fetch_from_peer(
