Check a reader's own read only after its next one is due

Cause: a reader gathers changes for 400 ms before it reads on; told of a change meanwhile it logged a missed read after 250 ms and read early. Change: the check waits for the gathering too. Tests: one in discovery/tests/test_shared_table.py.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -227,9 +227,9 @@
         if notice.version <= self.version:
             return
         if self._is_reading:
-            self._loop.after(
-                PEER_FETCH_DELAY_MS, lambda: self._check_own_read(address, notice)
-            )
+            # The next read may wait for further changes first.
+            wait = PEER_FETCH_DELAY_MS + self._settings.coalescing_delay
+            self._loop.after(wait, lambda: self._check_own_read(address, notice))
         if (
             notice.rows
             and notice.after <= self.version
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -351,3 +351,17 @@
     assert len([n for n in bench.notices if n.rows]) == 1
     assert len(bench.source.calls) == calls + 1
     assert bench.peer_fetches == []
+
+
+def test_a_read_that_waits_for_further_changes_has_missed_nothing():
+    bench = FollowerBench(is_shared=True, coalescing_delay=400.0)
+    bench.source.answer(table_update(10, True, config=b"one"))
+    bench.run_for(ROLE_DELAY_MS + 5.0)
+    bench.source.answer(table_update(11, other=b"x"))
+    calls = len(bench.source.calls)
+    bench.follower.on_notice("10.0.9.1:7000", TableNotice(at(11), at(12), TWO))
+    bench.run_for(450.0)
+    bench.source.answer(table_update(12, config=b"two"))
+    bench.run_for(300.0)
+    assert len(bench.source.calls) == calls + 1
+    assert [n.version for n in bench.notices if n.rows == TWO] == [at(12)]
