--- a/src/galenaferry/attempts/fleet_budget.py
+++ b/src/galenaferry/attempts/fleet_budget.py
@@ -3,6 +3,9 @@
 Within any window the fleet may make ``ratio`` retries per request plus ``slack``
 more. Each VM applies the ratio to its own requests and takes an equal part of the
 slack, so the sum stays within the limit without messages between the VMs.
+
+A VM that starts again has forgotten what it spent. It gets its part of the slack only
+after a window, so that a fleet that restarts as a whole does not spend the slack twice.
 """
 
 from collections import deque
@@ -33,14 +36,21 @@
     clock : Clock
     fleet_size : callable
         Returns the number of VMs that the slack is divided by.
+    slack_from : float
+        Monotonic time in milliseconds from which there is slack.
     """
 
     def __init__(
-        self, bounds: BudgetBounds, clock: Clock, fleet_size: Callable[[], int]
+        self,
+        bounds: BudgetBounds,
+        clock: Clock,
+        fleet_size: Callable[[], int],
+        slack_from: Millis,
     ) -> None:
         self._bounds = bounds
         self._clock = clock
         self._fleet_size = fleet_size
+        self._slack_from = slack_from
         self._requests: deque[Millis] = deque()
         self._retries: deque[Millis] = deque()
 
@@ -53,12 +63,14 @@
 
     def remaining(self) -> float:
         """Return how many retries are left now."""
-        since = self._clock.now() - self._bounds.window
+        now = self._clock.now()
+        since = now - self._bounds.window
         _drop_before(self._requests, since)
         _drop_before(self._retries, since)
         earned = self._bounds.ratio * len(self._requests)
-        allowed = earned + self._bounds.slack / self._fleet_size()
-        return allowed - len(self._retries)
+        has_slack = now >= self._slack_from
+        slack = self._bounds.slack / self._fleet_size() if has_slack else 0.0
+        return earned + slack - len(self._retries)
 
     def try_spend(self) -> bool:
         """Reserve one retry; return False if none is available."""
@@ -72,11 +84,25 @@
     """Budgets by service.
 
     Retries after failures and after sheds (see ``Evidence.SHED``) share one budget.
+
+    Parameters
+    ----------
+    bounds : BudgetBounds
+    clock : Clock
+    fleet_size : callable
+        Returns the number of VMs that the slack is divided by.
+    is_first_start : bool
+        Whether the fleet starts for the first time, so that no VM has spent anything.
     """
 
     def __init__(
-        self, bounds: BudgetBounds, clock: Clock, fleet_size: Callable[[], int]
+        self,
+        bounds: BudgetBounds,
+        clock: Clock,
+        fleet_size: Callable[[], int],
+        is_first_start: bool,
     ) -> None:
+        self._slack_from = clock.now() + (0.0 if is_first_start else bounds.window)
         self._bounds = bounds
         self._clock = clock
         self._fleet_size = fleet_size
@@ -86,7 +112,9 @@
         """Return the budget for retries after a failure."""
         budget = self._by_service.get(service)
         if budget is None:
-            budget = WindowBudget(self._bounds, self._clock, self._fleet_size)
+            budget = WindowBudget(
+                self._bounds, self._clock, self._fleet_size, self._slack_from
+            )
             self._by_service[service] = budget
         return budget
 
--- a/src/galenaferry/attempts/tests/test_fleet_budget.py
+++ b/src/galenaferry/attempts/tests/test_fleet_budget.py
@@ -15,7 +15,9 @@
 
 def test_retries_of_all_vms_stay_within_the_bound_in_every_window():
     clock = FakeClock()
-    fleet = [FleetBudgets(BOUNDS, clock, lambda: 36) for _ in range(36)]
+    fleet = [
+        FleetBudgets(BOUNDS, clock, lambda: 36, is_first_start=True) for _ in range(36)
+    ]
     retries = []
     requests = []
     for step in range(300):
@@ -33,12 +35,37 @@
 
 
 def test_shed_retries_use_the_same_budget():
-    budgets = FleetBudgets(BOUNDS, FakeClock(), lambda: 58)
+    budgets = FleetBudgets(BOUNDS, FakeClock(), lambda: 58, is_first_start=True)
     assert budgets.shed("bookings").try_spend()
     assert not budgets.retry("bookings").try_spend()
 
 
 def test_each_service_has_its_own_budget():
-    budgets = FleetBudgets(BOUNDS, FakeClock(), lambda: 58)
+    budgets = FleetBudgets(BOUNDS, FakeClock(), lambda: 58, is_first_start=True)
     assert budgets.retry("bookings").try_spend()
     assert budgets.retry("archives").try_spend()
+
+
+def test_a_fleet_that_restarts_as_a_whole_does_not_spend_its_slack_twice():
+    clock = FakeClock()
+
+    def start_fleet(is_first_start):
+        return [
+            FleetBudgets(BOUNDS, clock, lambda: 36, is_first_start) for _ in range(36)
+        ]
+
+    fleet = start_fleet(is_first_start=True)
+    spent = sum(spend_all(budgets.retry("bookings")) for budgets in fleet)
+    clock.advance(2_000.0)
+    fleet = start_fleet(is_first_start=False)
+    spent += sum(spend_all(budgets.retry("bookings")) for budgets in fleet)
+    assert 0 < spent <= BOUNDS.slack
+    clock.advance(BOUNDS.window)
+    assert sum(spend_all(budgets.retry("bookings")) for budgets in fleet) > 0
+
+
+def test_a_restarted_vm_spends_what_its_requests_earn():
+    budgets = FleetBudgets(BOUNDS, FakeClock(), lambda: 36, is_first_start=False)
+    for _ in range(10):
+        budgets.retry("bookings").record_request(20)
+    assert spend_all(budgets.retry("bookings")) == 2
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -160,7 +160,7 @@
                 is_request_id_echoed=True,
                 certifying_statuses=None,
             ),
-            budgets=self._make_budgets(),
+            budgets=self._make_budgets(settings.is_first_start),
             limits=lambda: self.routes.limits,
             retry_after=self._retry_after,
             overdue_policy=self.placement,
@@ -260,11 +260,13 @@
         self._settings = settings
         self._adapter.store.set_address(settings.store)
         self.table.add_unconfirmed(self._seed_members(), self.loop.clock.now())
-        self.context.budgets = self._make_budgets()
+        self.context.budgets = self._make_budgets(is_first_start=False)
         self.placement.settings = _placement_settings(settings)
 
-    def _make_budgets(self) -> FleetBudgets:
-        return FleetBudgets(self._settings.budget, self.loop.clock, self._fleet_size)
+    def _make_budgets(self, is_first_start: bool) -> FleetBudgets:
+        return FleetBudgets(
+            self._settings.budget, self.loop.clock, self._fleet_size, is_first_start
+        )
 
     def on_table_notice(self, sender: Member, notice: TableNotice) -> None:
         """Handle changes of a table that another VM has read."""
