Log the request limits that instances name

Change: the header is read and checked; a line when a limit is first known, changes or ends, with who told it; the limit in the state dump; a gauge of limited instances. Which instance a request goes to is as before. A limit ends only with a success without the header whose request was sent after it was last named: errors and malformed responses may lack headers.

--- a/src/galenaferry/backends/directory.py
+++ b/src/galenaferry/backends/directory.py
@@ -94,6 +94,12 @@
     def pause(self, instance: Instance, interval: Millis) -> None:
         """Handle that an instance wants no requests for ``interval`` milliseconds."""
 
+    def limit_requests(self, instance: Instance, per_second: float) -> None:
+        """Handle that an instance limits the requests of the fleet."""
+
+    def end_request_limit(self, instance: Instance, sent_at: Millis) -> None:
+        """Handle a success without a limit to a request that was sent at a time."""
+
     def close_idle(self) -> None:
         """Close connections that exceeded their idle limit."""
 
@@ -163,6 +169,12 @@
     def pause(self, instance: Instance, interval: Millis) -> None:
         """Do nothing: the concurrency window pauses an instance after each shed."""
 
+    def limit_requests(self, instance: Instance, per_second: float) -> None:
+        """Do nothing: instances of these deployments name no limit."""
+
+    def end_request_limit(self, instance: Instance, sent_at: Millis) -> None:
+        """Do nothing: instances of these deployments name no limit."""
+
     def mark_draining(self, instance: Instance) -> None:
         """Send no new requests for a while to an instance that reported draining."""
         address = instance.address
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -347,6 +347,7 @@
             live_members=lambda: len(self.table.live(now())),
             requests_in_flight=lambda: self.requests.in_flight,
             datagrams_sent=lambda: self.peers.dump()["datagrams_sent"],
+            instances_limited=lambda: self.placement.limited_count,
         )
         settings = self._settings
         return NodeMetrics(settings.name, settings.zone, self.context.counters, gauges)
--- a/src/galenaferry/node/metrics.py
+++ b/src/galenaferry/node/metrics.py
@@ -37,6 +37,7 @@
     live_members: Callable[[], float]
     requests_in_flight: Callable[[], float]
     datagrams_sent: Callable[[], float]
+    instances_limited: Callable[[], float]
 
 
 class NodeMetrics:
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -29,6 +29,7 @@
     choose_instance,
 )
 from .reachability import Reachability
+from .request_limits import RequestLimits
 from .route_statistics import RouteStatistics
 
 USABLE_CONNECTION_FRACTION: Final = 0.9
@@ -101,6 +102,7 @@
         self._posteriors = Posteriors(settings.model)
         self._reachability = Reachability()
         self._announcements = Announcements()
+        self._request_limits = RequestLimits()
         self._name_by_key: dict[int, str] = {}
         self._instance_by_address: dict[str, Instance] = {}
         self._pool_by_name: dict[str, InstancePool] = {}
@@ -123,6 +125,7 @@
         self._name_by_key = {instance_key(name): name for name in names}
         self._posteriors.retain_only(names)
         self._reachability.retain_only(names)
+        self._request_limits.retain_only(names)
         for name in self._pool_by_name.keys() - names:
             self._pool_by_name.pop(name).close_all_idle()
         self._static_candidates.clear()
@@ -223,6 +226,23 @@
         now = self._loop.clock.now()
         self._announcements.on_pause(instance.name, interval, now)
 
+    def limit_requests(self, instance: Instance, per_second: float) -> None:
+        """Record that an instance limits the requests of the fleet."""
+        now = self._loop.clock.now()
+        self._request_limits.on_named(instance.name, per_second, "this VM", now)
+
+    def end_request_limit(self, instance: Instance, sent_at: Millis) -> None:
+        """Record a success without a limit to a request that was sent at a time."""
+        named_at = self._request_limits.named_at(instance.name)
+        if named_at is not None and sent_at > named_at:
+            now = self._loop.clock.now()
+            self._request_limits.on_unlimited(instance.name, "this VM", now)
+
+    @property
+    def limited_count(self) -> int:
+        """Number of instances that limit their requests."""
+        return len(self._request_limits)
+
     def close_idle(self) -> None:
         """Close connections that were idle too long."""
         for pool in self._pool_by_name.values():
@@ -330,6 +350,7 @@
                         self._posterior(instance, now).sick_probability(now), 3
                     ),
                     "lost": self._reachability.is_unreachable(instance.name, now),
+                    "limit_per_second": self._request_limits.per_second(instance.name),
                 }
                 for instance in instances
             }
--- a/src/galenaferry/placing/tests/test_announcements.py
+++ b/src/galenaferry/placing/tests/test_announcements.py
@@ -16,13 +16,15 @@
 DRAIN_TIMEOUT_MS = 2_000.0
 
 
-def receive_head(bench, number, status, outcome, **headers):
+def receive_head(bench, number, status, outcome, sent_at=0.0, **headers):
     """Let this VM receive a response head of an instance."""
     pairs = tuple(
         (name.replace("_", "-").encode(), value) for name, value in headers.items()
     )
     head = ResponseHead(status, b"", pairs, 0)
-    record_announcements(bench.placement, HEADER_NAMES, instance(number), head, outcome)
+    record_announcements(
+        bench.placement, HEADER_NAMES, instance(number), head, outcome, sent_at
+    )
     bench.loop.poll(0.0)
 
 
--- a/src/galenaferry/platform/headers.py
+++ b/src/galenaferry/platform/headers.py
@@ -10,6 +10,8 @@
     time_left=b"galenaferry-request-deadline-ms",
     attempt=b"",
     draining=b"server-leaving",
+    # In requests per second from all VMs together, named in each response.
+    request_limit=b"server-limit",
     not_run=(b"galenaferry-not-executed", b""),
     # Set by the instance on each of its responses, not by the proxy.
     signature=b"galenaferry-response-signature",
--- a/src/galenaferry/requests/announcements.py
+++ b/src/galenaferry/requests/announcements.py
@@ -4,9 +4,10 @@
 
 from result import Err
 
-from ..attempts.messages import AttemptOutcome, Misdirected
+from ..attempts.messages import AttemptOutcome, BadResponse, Misdirected
 from ..backends.directory import Backends
 from ..backends.messages import Instance
+from ..clock import Millis
 from ..framing.messages import ResponseHead
 from ..logs import logger
 from ..numbers import parse_decimal_number
@@ -14,6 +15,7 @@
 from .messages import RETRY_AFTER_HEADER
 
 UNAVAILABLE_STATUS: Final = 503
+FIRST_ERROR_STATUS: Final = 400
 LEAVING_VALUE: Final = b"1"
 
 log = logger("requests")
@@ -25,8 +27,9 @@
     instance: Instance,
     head: ResponseHead,
     outcome: AttemptOutcome,
+    sent_at: Millis,
 ) -> None:
-    """Tell the backends that an instance leaves or asks for a pause.
+    """Tell the backends that an instance leaves, asks for a pause or names a limit.
 
     Parameters
     ----------
@@ -38,21 +41,51 @@
     outcome : AttemptOutcome
         Outcome that the head stands for. Another instance at the address speaks only
         of itself.
+    sent_at : float
+        Monotonic time in milliseconds at which the attempt started.
     """
     if isinstance(outcome, Misdirected):
         return
     if names.draining and head.header(names.draining) == LEAVING_VALUE:
         backends.mark_draining(instance)
+    _record_request_limit(backends, names, instance, head, outcome, sent_at)
     retry_after = head.header(RETRY_AFTER_HEADER)
     if head.status != UNAVAILABLE_STATUS or retry_after is None:
         return
-    seconds = parse_decimal_number(retry_after.decode("latin-1").strip())
-    if isinstance(seconds, Err):
+    seconds = _parse_number(instance, RETRY_AFTER_HEADER, retry_after)
+    if seconds is not None:
+        backends.pause(instance, seconds * 1000.0)
+
+
+def _record_request_limit(
+    backends: Backends,
+    names: HeaderNames,
+    instance: Instance,
+    head: ResponseHead,
+    outcome: AttemptOutcome,
+    sent_at: Millis,
+) -> None:
+    """Tell the backends of a limit, or that a success states none."""
+    if not names.request_limit:
+        return
+    value = head.header(names.request_limit)
+    if value is not None:
+        per_second = _parse_number(instance, names.request_limit, value)
+        if per_second is not None:
+            backends.limit_requests(instance, per_second)
+    elif head.status < FIRST_ERROR_STATUS and not isinstance(outcome, BadResponse):
+        backends.end_request_limit(instance, sent_at)
+
+
+def _parse_number(instance: Instance, header: bytes, value: bytes) -> float | None:
+    """Return the number in a header, or log why it is ignored and return None."""
+    number = parse_decimal_number(value.decode("latin-1").strip())
+    if isinstance(number, Err):
         log.warning(
-            "ignored the Retry-After of an instance",
+            f"ignored the {header.decode().title()} of an instance",
             instance=instance.name,
-            value=retry_after[:40].decode("latin-1"),
-            error=seconds.err_value,
+            value=value[:40].decode("latin-1"),
+            error=number.err_value,
         )
-        return
-    backends.pause(instance, seconds.ok_value * 1000.0)
+        return None
+    return number.ok_value
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -95,6 +95,10 @@
         )
         self._summary = RequestSummary(self._request_id, context.loop.clock.now())
 
+    @property
+    def _attempt_started_at(self) -> Millis:
+        return self._attempt.started_at if self._attempt is not None else 0.0
+
     @property
     def _id_header(self) -> Header:
         return (self._context.settings.names.request_id, self._request_id)
@@ -241,7 +245,12 @@
                 self._attempt.abandon()
         if self._instance is not None:
             record_announcements(
-                self._context.directory, settings.names, self._instance, head, outcome
+                self._context.directory,
+                settings.names,
+                self._instance,
+                head,
+                outcome,
+                self._attempt_started_at,
             )
         evaluation = evaluate_outcome(outcome)
         self._record_attempt(outcome, evaluation)
@@ -512,7 +521,7 @@
         if evaluation.evidence is Evidence.SHED:
             # The instance did not execute the request and may be chosen again.
             self._tried_addresses -= {instance.address}
-        started_at = self._attempt.started_at if self._attempt is not None else 0.0
+        started_at = self._attempt_started_at
         took = self._context.loop.clock.now() - started_at
         self._summary.add_attempt(instance, outcome, took)
         if is_timeout(outcome) and took < route.target_latency:
--- a/src/galenaferry/requests/interface.py
+++ b/src/galenaferry/requests/interface.py
@@ -27,14 +27,16 @@
     numbers the attempts of a request, and ``draining`` marks the responses of an
     instance that shuts down. The ``not_run`` header certifies that an instance did not
     execute a request, if it has the given value; an empty value stands for any.
-    ``signature`` marks each response of an instance, and ``expected_instance`` lets an
-    instance reject a request that was meant for another one.
+    ``request_limit`` states how many requests per second an instance takes from the
+    fleet. ``signature`` marks each response of an instance, and ``expected_instance``
+    lets an instance reject a request that was meant for another one.
     """
 
     request_id: bytes = REQUEST_ID_HEADER
     time_left: bytes = TIME_LEFT_HEADER
     attempt: bytes = ATTEMPT_HEADER
     draining: bytes = DRAINING_HEADER
+    request_limit: bytes = b""
     not_run: Header = (RAN_HEADER, b"not-run")
     signature: bytes = b""
     expected_instance: bytes = b""
