Share the request limit of an instance among a few VMs of the fleet

What callers saw: nothing of its own; instances in need got two to three times what they had named (34 requests in 4 s where 15 are allowed). Cause: no VM read Server-Limit, and what one VM may do by itself can't keep a sum. Class: an amount that all VMs spend together without a division between them. Ruled out: each VM keeping to the whole limit (44 times as much), equal parts (one request in 44 s for each VM; saved parts spent at once). Three VMs and one more for each request a second are holders, by rendezvous hashing in the instance's zone first; each saves up its share from nothing. All others leave the instance alone. VMs tell each other of limits and their ends, in a list that earlier builds skip; a VM without news asks by one request at a random time. What no VM may send is refused at once, with the mean time until the fleet may send as Retry-After. Why it works: in any 4 s the holders send at most four times the limit plus one request each, and the rule allows half of the limit and 5 more; so one holder too many, from views that differ by a VM, fits in.

--- a/src/galenaferry/health/messages.py
+++ b/src/galenaferry/health/messages.py
@@ -63,12 +63,13 @@
     """Outcome of one attempt at the instance with ``key``.
 
     ``id`` is a random number that identifies the outcome when it arrives more than
-    once, 0 if it has none.
+    once, 0 if it has none. ``limit_per_second`` is the limit of a ``LIMITED`` one.
     """
 
     key: int
     outcome: Outcome
     id: int = 0
+    limit_per_second: float = 0.0
 
 
 class Outcomes(NamedTuple):
--- a/src/galenaferry/health/posteriors.py
+++ b/src/galenaferry/health/posteriors.py
@@ -29,7 +29,8 @@
     ``placing.component`` derives it from ``attempts.messages.Evidence``. ``SHED``
     stands for a request that the instance rejected without executing it, ``DOUBTFUL``
     for a failure on a reused connection, which may have been stale. ``LEAVING`` is the
-    announcement of an instance that it leaves, which is no evidence of its health.
+    announcement of an instance that it leaves, ``LIMITED`` and ``UNLIMITED`` that it
+    limits its requests or no longer does; these are no evidence of its health.
     """
 
     GOOD = 0
@@ -39,6 +40,8 @@
     UNREACHABLE = 4
     DOUBTFUL = 5
     LEAVING = 6
+    LIMITED = 7
+    UNLIMITED = 8
 
 
 class FaultModel(NamedTuple):
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import math
 from functools import lru_cache
 from pathlib import Path
 from typing import Any, Final, NamedTuple
@@ -37,6 +38,7 @@
 """Longest age in milliseconds that is sent, the largest ``UInt32``; longer ages are
 sent as this one."""
 MAX_CHECKED_ADDRESSES: Final = 8_192
+LIMIT_OUTCOMES: Final = (Outcome.LIMITED, Outcome.UNLIMITED)
 COUNT_MASK: Final = 0xFFFF_FFFF
 """Totals are sent modulo 2**32."""
 
@@ -163,17 +165,49 @@
 
 def _fill_outcomes(target: Any, outcomes: Outcomes) -> None:
     target.isForZone = outcomes.is_for_zone
-    rows = target.init("outcomes", len(outcomes.instance_outcomes))
-    for index, row in enumerate(outcomes.instance_outcomes):
-        rows[index].key = row.key
-        rows[index].outcome = int(row.outcome)
-        rows[index].id = row.id
+    # Limits have a list of their own: earlier versions reject unknown outcomes.
+    limits = [
+        row for row in outcomes.instance_outcomes if row.outcome in LIMIT_OUTCOMES
+    ]
+    others = [
+        row for row in outcomes.instance_outcomes if row.outcome not in LIMIT_OUTCOMES
+    ]
+    outcome_rows = target.init("outcomes", len(others))
+    for index, row in enumerate(others):
+        outcome_rows[index].key = row.key
+        outcome_rows[index].outcome = int(row.outcome)
+        outcome_rows[index].id = row.id
+    limit_rows = target.init("limits", len(limits))
+    for index, row in enumerate(limits):
+        limit_rows[index].key = row.key
+        limit_rows[index].perSecond = row.limit_per_second
+        limit_rows[index].isEnded = row.outcome is Outcome.UNLIMITED
+        limit_rows[index].id = row.id
 
 
 def _read_outcomes(rows: Any) -> tuple[InstanceOutcome, ...]:
     return tuple(InstanceOutcome(row.key, Outcome(row.outcome), row.id) for row in rows)
 
 
+def _read_limits(rows: Any) -> tuple[InstanceOutcome, ...]:
+    return tuple(
+        InstanceOutcome(
+            row.key,
+            Outcome.UNLIMITED if row.isEnded else Outcome.LIMITED,
+            row.id,
+            _check_limit(row.perSecond),
+        )
+        for row in rows
+    )
+
+
+def _check_limit(per_second: float) -> float:
+    """Raise ``ValueError`` unless a limit is a number that an instance may name."""
+    if not 0.0 <= per_second < math.inf:
+        raise ValueError("a request limit must be a non-negative number")
+    return per_second
+
+
 def _fill_notice(target: Any, notice: TableNotice) -> None:
     # Eras have fields of their own, so that VMs of an earlier version read counters.
     target.after = notice.after.counter
@@ -278,7 +312,8 @@
             return Outcomes(_read_outcomes(body.outcomes))
         case "outcomeSet":
             source = body.outcomeSet
-            return Outcomes(_read_outcomes(source.outcomes), source.isForZone)
+            rows = _read_outcomes(source.outcomes) + _read_limits(source.limits)
+            return Outcomes(rows, source.isForZone)
     raise ValueError("unknown message")
 
 
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -68,9 +68,17 @@
   id @2 :UInt64;
 }
 
+struct RequestLimit {
+  key @0 :UInt64;
+  perSecond @1 :Float64;
+  isEnded @2 :Bool;
+  id @3 :UInt64;
+}
+
 struct OutcomeSet {
   isForZone @0 :Bool;
   outcomes @1 :List(Outcome);
+  limits @2 :List(RequestLimit);
 }
 
 struct TableRow {
--- a/src/galenaferry/peers/tests/test_codec.py
+++ b/src/galenaferry/peers/tests/test_codec.py
@@ -36,6 +36,12 @@
     Report((Counts(2**63, 5, 1, 2),)),
     Verdicts((Verdict(9, HealthState.PROBATION, 20, 0.5),)),
     Outcomes((InstanceOutcome(2**63, Outcome.LEAVING, 9),), True),
+    Outcomes(
+        (
+            InstanceOutcome(2**63, Outcome.LIMITED, 9, 1.7),
+            InstanceOutcome(5, Outcome.UNLIMITED, 8),
+        )
+    ),
     TableNotice(
         StoreVersion(1, 2**43), StoreVersion(2, 3), (TableRow("i-1", None),), 5.0
     ),
--- a/src/galenaferry/placing/announcements.py
+++ b/src/galenaferry/placing/announcements.py
@@ -10,7 +10,6 @@
 - A pausing instance gets none until the end of its pause.
 """
 
-from collections.abc import Iterable
 from enum import Enum
 from typing import Final
 
@@ -100,11 +99,6 @@
             return now
         return until
 
-    def next_return(self, names: Iterable[str], now: Millis) -> Millis | None:
-        """Return when the first of some instances ends its pause.
-
-        Returns None unless all of those that stay are in a pause.
-        """
-        staying = [name for name in names if name not in self._leaving_since_by_name]
-        ends = [self.paused_until(name, now) for name in staying]
-        return min(ends) if ends and min(ends) > now else None
+    def is_leaving(self, name: str) -> bool:
+        """Whether an instance announced that it leaves."""
+        return name in self._leaving_since_by_name
--- a/src/galenaferry/placing/candidates.py
+++ b/src/galenaferry/placing/candidates.py
@@ -112,15 +112,16 @@
             vms = list(self._vms)
         elif instance.zone != self._me.zone:
             return False
-        own_rank = _rank(self._me, instance)
+        own_rank = rank(self._me, instance)
         better_count = 0
         for vm in vms:
-            if _rank(vm, instance) < own_rank:
+            if rank(vm, instance) < own_rank:
                 better_count += 1
                 if better_count >= PROBERS_PER_INSTANCE:
                     return False
         return True
 
 
-def _rank(vm: Vm, instance: Instance) -> int:
+def rank(vm: Vm, instance: Instance) -> int:
+    """Return the rank of a VM for an instance in rendezvous hashing, lowest first."""
     return xxhash.xxh64_intdigest(f"{vm.address}\n{instance.name}".encode())
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -10,7 +10,7 @@
 
 from ..attempts.messages import Evidence
 from ..backends.borrowing import BorrowingPolicy
-from ..backends.choice import Choice
+from ..backends.choice import Choice, Chosen
 from ..backends.messages import CapacityShare, Instance, SelectionCriteria
 from ..backends.ownership import Vm
 from ..backends.pool import InstancePool
@@ -102,8 +102,8 @@
         self._posteriors = Posteriors(settings.model)
         self._reachability = Reachability()
         self._announcements = Announcements()
-        self._request_limits = RequestLimits()
-        self._name_by_key: dict[int, str] = {}
+        self._request_limits = RequestLimits(random, loop.clock.now())
+        self._instance_by_key: dict[int, Instance] = {}
         self._instance_by_address: dict[str, Instance] = {}
         self._pool_by_name: dict[str, InstancePool] = {}
         self._routes = RouteStatistics()
@@ -122,7 +122,7 @@
         self.by_service = {name: tuple(rows) for name, rows in by_service.items()}
         self._instance_by_address = {i.address: i for i in present}
         names = frozenset(i.name for i in present)
-        self._name_by_key = {instance_key(name): name for name in names}
+        self._instance_by_key = {instance_key(i.name): i for i in present}
         self._posteriors.retain_only(names)
         self._reachability.retain_only(names)
         self._request_limits.retain_only(names)
@@ -133,6 +133,7 @@
     def set_live_vms(self, me: Vm, vms: tuple[Vm, ...]) -> None:
         """Divide slots and connections among the VMs that are live now."""
         self._static_candidates.set_live_vms(me, vms)
+        self._request_limits.set_live_vms(me, vms, self._loop.clock.now())
 
     def has_service(self, service: str) -> bool:
         """Return True: a service without instances is unavailable, not unknown."""
@@ -151,6 +152,9 @@
             for static_candidate in self._candidates(criteria.service, criteria.policy)
             if static_candidate.instance.address not in criteria.tried
         ]
+        if self._request_limits:
+            may_send = self._request_limits.may_send
+            untried = [static for static in untried if may_send(static.name, now)]
         if not self._announcements.is_empty:
             untried = self._usable(untried, now)
         candidates = [self._candidate(static, now) for static in untried]
@@ -159,7 +163,10 @@
             response_kb=self._routes.response_kb(criteria.route),
             floor=self.settings.floor,
         )
-        return choose_instance(candidates, profile, self._random)
+        choice = choose_instance(candidates, profile, self._random)
+        if isinstance(choice, Chosen):
+            self._request_limits.on_sent(choice.instance.name, now)
+        return choice
 
     def _usable(
         self, static_candidates: list[StaticCandidate], now: Millis
@@ -176,12 +183,29 @@
         )
 
     def next_return(self, service: str) -> Millis | None:
-        """Return when a service whose instances all ask for a pause has one again.
+        """Return when a service that takes no requests now is expected to take one.
 
-        The time is monotonic, in milliseconds; None if some instance asks for none.
+        The time is monotonic, in milliseconds. It is the end of the first pause, or the
+        mean time until the fleet may send a request to one of the limited instances.
+        None if some instance takes requests of this VM.
         """
-        names = (instance.name for instance in self.by_service.get(service, ()))
-        return self._announcements.next_return(names, self._loop.clock.now())
+        now = self._loop.clock.now()
+        times: list[Millis] = []
+        limit_per_second = 0.0
+        for instance in self.by_service.get(service, ()):
+            name = instance.name
+            if self._announcements.is_leaving(name):
+                continue
+            paused_until = self._announcements.paused_until(name, now)
+            if paused_until > now:
+                times.append(paused_until)
+            elif self._request_limits.may_send(name, now):
+                return None
+            else:
+                limit_per_second += self._request_limits.per_second(name) or 0.0
+        if limit_per_second:
+            times.append(now + 1000.0 / limit_per_second)
+        return min(times, default=None)
 
     def capacity_share(self, policy: Policy) -> CapacityShare:
         """Return this VM's part of an instance's connections, and all of its slots."""
@@ -227,16 +251,27 @@
         self._announcements.on_pause(instance.name, interval, now)
 
     def limit_requests(self, instance: Instance, per_second: float) -> None:
-        """Record that an instance limits the requests of the fleet."""
+        """Keep to the limit that an instance names for the requests of the fleet."""
         now = self._loop.clock.now()
-        self._request_limits.on_named(instance.name, per_second, "this VM", now)
+        if self._request_limits.on_named(instance, per_second, "this VM", now):
+            self._queue_broadcast(
+                InstanceOutcome(
+                    instance_key(instance.name),
+                    Outcome.LIMITED,
+                    limit_per_second=per_second,
+                )
+            )
 
     def end_request_limit(self, instance: Instance, sent_at: Millis) -> None:
-        """Record a success without a limit to a request that was sent at a time."""
+        """Handle a success without a limit to a request that was sent at a time."""
         named_at = self._request_limits.named_at(instance.name)
-        if named_at is not None and sent_at > named_at:
-            now = self._loop.clock.now()
-            self._request_limits.on_unlimited(instance.name, "this VM", now)
+        if named_at is None or sent_at <= named_at:
+            return
+        now = self._loop.clock.now()
+        self._request_limits.on_unlimited(instance.name, "this VM", now)
+        self._queue_broadcast(
+            InstanceOutcome(instance_key(instance.name), Outcome.UNLIMITED)
+        )
 
     @property
     def limited_count(self) -> int:
@@ -287,13 +322,19 @@
         """Apply outcomes that another VM saw."""
         now = self._loop.clock.now()
         for instance_outcome in instance_outcomes:
-            name = self._name_by_key.get(instance_outcome.key)
-            if name is None:
+            instance = self._instance_by_key.get(instance_outcome.key)
+            if instance is None:
                 continue
-            if instance_outcome.outcome is Outcome.LEAVING:
-                self._announcements.on_leaving(name, sender, now)
-            else:
-                self._apply_outcome(name, instance_outcome.outcome, sender, now)
+            match instance_outcome.outcome:
+                case Outcome.LEAVING:
+                    self._announcements.on_leaving(instance.name, sender, now)
+                case Outcome.LIMITED:
+                    limit = instance_outcome.limit_per_second
+                    self._request_limits.on_named(instance, limit, sender, now)
+                case Outcome.UNLIMITED:
+                    self._request_limits.on_unlimited(instance.name, sender, now)
+                case outcome:
+                    self._apply_outcome(instance.name, outcome, sender, now)
 
     def _apply_outcome(
         self, name: str, outcome: Outcome, source: str, now: Millis
@@ -351,6 +392,7 @@
                     ),
                     "lost": self._reachability.is_unreachable(instance.name, now),
                     "limit_per_second": self._request_limits.per_second(instance.name),
+                    "limit_share": self._request_limits.share(instance.name),
                 }
                 for instance in instances
             }
--- a/src/galenaferry/placing/tests/limited_fleet.py
+++ b/src/galenaferry/placing/tests/limited_fleet.py
@@ -119,13 +119,13 @@
         counts = (sum(at <= other < at + WINDOW_MS for other in times) for at in times)
         return max(counts, default=0) - allowed
 
+    def criteria(self):
+        return SelectionCriteria("bookings", "r", DEFAULT_POLICY, frozenset(), False)
+
     def _send_request(self, vm):
         placement = self.placements[vm]
-        criteria = SelectionCriteria(
-            "bookings", "r", DEFAULT_POLICY, frozenset(), False
-        )
         share = placement.capacity_share(DEFAULT_POLICY)
-        choice = placement.choose(criteria, share, True)
+        choice = placement.choose(self.criteria(), share, True)
         if not isinstance(choice, Chosen):
             self.refused += 1
             return
