Bound what a response may hold beside its body

What callers saw: nothing yet; found by a test of the new line on the users' pages about bytes without end. Such a response held memory and time of a VM until the route's timeout. Cause: only the head of the awaited response was bounded. Trailers, chunk extensions and a late response to an earlier request on the connection were read without a bound; the headers of endless trailers of the latter were kept. Change: at most 64 KiB between two parts of a body or after its last one, at most 1 MiB before the awaited response. Elsewhere: RequestReader bounds heads and bodies of callers already; answers of the store and of peers go through the same ResponseReader.

--- a/src/galenaferry/framing/responses.py
+++ b/src/galenaferry/framing/responses.py
@@ -8,6 +8,9 @@
 from .messages import FramingError, Header, ResponseHead
 
 MAX_RESPONSE_HEAD_BYTES: Final = 65_536
+"""Largest head, and most bytes between two parts of a body or after its last part."""
+MAX_PRECEDING_BYTES: Final = 1 << 20
+"""Most bytes before the body of the response, those of skipped responses included."""
 BODILESS_STATUSES: Final = (204, 304)
 """Final statuses whose responses never have a body."""
 
@@ -70,7 +73,8 @@
         self._parser: Any = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._reason = b""
-        self._head_bytes = 0
+        self._overhead_bytes = 0
+        self._preceding_bytes = 0
         self._is_informational = False
         self._is_close_delimited = False
         self._error: FramingError | None = None
@@ -90,7 +94,8 @@
         if self.is_complete:
             self.has_excess_data = True
             return
-        self._head_bytes += 0 if self.is_head_complete else len(data)
+        self._overhead_bytes += len(data)
+        self._preceding_bytes += 0 if self.is_head_complete else len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -102,9 +107,16 @@
             if not self.is_complete:
                 raise FramingError(502, f"bad response: {error}") from None
             self.has_excess_data = True
-        is_in_head = not (self.is_head_complete or self._is_skipping)
-        if is_in_head and self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
-            raise FramingError(502, "the head of the response is too large")
+        if not self.is_complete:
+            self._check_sizes()
+
+    def _check_sizes(self) -> None:
+        """Raise ``FramingError`` after too many bytes that are not the body."""
+        if self._overhead_bytes > MAX_RESPONSE_HEAD_BYTES:
+            part = "framing of the body" if self.is_head_complete else "head"
+            raise FramingError(502, f"the {part} of the response is too large")
+        if not self.is_head_complete and self._preceding_bytes > MAX_PRECEDING_BYTES:
+            raise FramingError(502, "too many bytes of earlier responses")
 
     def feed_eof(self) -> None:
         """Handle the end of the byte stream, which ends a close-delimited body.
@@ -140,7 +152,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are dropped (called by httptools)."""
-        if not self.is_head_complete:
+        if not (self.is_head_complete or self._is_skipping):
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -155,6 +167,7 @@
             return
         self.is_persistent = self._parser.should_keep_alive()
         head = self._build_head(status)
+        self._overhead_bytes = 0
         self._is_skipping = self._is_stale_response(head)
         if self._is_skipping:
             return
@@ -168,6 +181,7 @@
         if self.is_complete:
             self.has_excess_data = True
             return
+        self._overhead_bytes = 0
         if not self._is_skipping:
             self._owner.on_response_body(data)
 
@@ -177,7 +191,7 @@
             return
         if self._is_skipping:
             self._is_skipping = False
-            self._head_bytes = 0
+            self._overhead_bytes = 0
             return
         self._complete()
 
