Play request limits and endless responses in the soak

Cause: the soak knew neither; its fleets are the only ones whose views of each other differ at random. Change: instances name a limit for 1.5 to 9 s; requests of VMs that passed it on are counted over 4 s as the users' rule has it, anew after a fault of the VM or of the link to the instance. A mode 'endless' sends a body until the connection is closed. Narrowed: a stop may cut an endless response at its route's timeout. Cut earlier they are still reported (test).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,8 +19,8 @@
 from .callers import Callers
 from .fleet import Vm
 from .instances import MODES, ExecutionRecord, Instance
+from .proxy import DELAY_MS, Proxy
 from .proxy import FAULTS as LINK_FAULTS
-from .proxy import Proxy
 from .store import Store
 
 HARNESS_IP = "127.0.0.1"
@@ -148,7 +148,7 @@
         instance = self.random.choice(self.instances)
         duration_ms = 500.0 + 2_500.0 * self.random.random()
         self._copies.append(self.store.take_copy())
-        match self.random.randrange(12):
+        match self.random.randrange(13):
             case 0:
                 self._signal_vm(vm, signal.SIGKILL, duration_ms)
             case 1:
@@ -174,6 +174,8 @@
                 self._inject_link_fault(duration_ms)
             case 11 if self._has_store_faults:
                 self._restore_store()
+            case 12:
+                self._limit_instance(instance, duration_ms * 3.0)
             # 3 and 11 get here in runs without store faults.
             case 3 | 10 | 11:
                 self._write_configuration(self.random.choice(("one", "two")))
@@ -207,7 +209,24 @@
         if name == "store":
             self.record.timing.on_store_fault(self.loop.clock.now(), duration_ms)
         proxy.start_fault(fault)
+        self.record.timing.on_limit_disturbed(name)
         self.loop.after(duration_ms, proxy.end_fault)
+        self.loop.after(
+            duration_ms + DELAY_MS, lambda: self.record.timing.on_limit_disturbed(name)
+        )
+
+    def _limit_instance(self, instance: Instance, duration_ms: float) -> None:
+        """Let an instance name a limit for a while."""
+        if instance.limit is not None:
+            return
+        instance.limit = 0.5 + 2.5 * self.random.random()
+        self.injected_faults.append(f"{instance.name} limits to {instance.limit:.1f}")
+
+        def end() -> None:
+            instance.limit = None
+            self.record.timing.on_limit_disturbed(instance.name)
+
+        self.loop.after(duration_ms, end)
 
     def _restore_store(self) -> None:
         """Let the store come back from a copy some seconds old.
--- a/soak/connections.py
+++ b/soak/connections.py
@@ -11,6 +11,8 @@
 
 LIMITS = RequestLimits(65_536, 1 << 20)
 """Maximum size of a request's head and of its body, in bytes."""
+ENDLESS_BLOCK = b"x" * 32_768
+ENDLESS_INTERVAL_MS = 10.0
 
 
 class ServerConnection:
@@ -23,6 +25,7 @@
         self.body = b""
         self.is_closed = False
         self._handle = handle
+        self._loop = loop
         self._reader = RequestReader(self, LIMITS)
         self.stream = Stream(loop, sock, self, is_connecting=False)
 
@@ -32,6 +35,14 @@
         lines += [f"{name}: {value}" for name, value in headers.items()]
         self.stream.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
+    def send_endlessly(self, start: bytes) -> None:
+        """Send ``start`` and then bytes until the connection is closed."""
+        if not self.is_closed:
+            self.stream.write(start)
+            self._loop.after(
+                ENDLESS_INTERVAL_MS, lambda: self.send_endlessly(ENDLESS_BLOCK)
+            )
+
     def close(self) -> None:
         """Close at once."""
         self.is_closed = True
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -10,7 +10,17 @@
 
 WORK_MS = 30.0
 """Execution time of a request."""
-MODES = ("well", "errors", "sheds", "hangs", "resets", "loses", "extra", "cuts")
+MODES = (
+    "well",
+    "errors",
+    "sheds",
+    "hangs",
+    "resets",
+    "loses",
+    "extra",
+    "cuts",
+    "endless",
+)
 
 
 class ExecutionRecord:
@@ -29,7 +39,9 @@
     The modes of ``MODES``: ``sheds`` responds 503 without execution. All others execute
     the request: then ``errors`` responds 500, ``hangs`` never responds, ``resets`` and
     ``loses`` close the connection, ``extra`` sends the response a second time within
-    ``2 * WORK_MS``, and ``cuts`` closes the connection before the end of the body.
+    ``2 * WORK_MS``, ``cuts`` closes the connection before the end of the body, and
+    ``endless`` sends a body that never ends. ``limit`` is the number of requests per
+    second that it takes from the fleet, None for no limit.
 
     ``addresses`` are the registered address, on which a proxy listens, and the address
     on which the instance itself listens.
@@ -52,6 +64,7 @@
         self.address, direct_address = addresses
         self.mode = "well"
         self.is_leaving = False
+        self.limit: float | None = None
         self._sequence = 0
         self._listener = serve(loop, direct_address, self._on_request)
 
@@ -82,10 +95,13 @@
             headers |= {"galenaferry-request-id": request}
             connection.respond(421, headers, b"")
             return
+        timing = self._record.timing
+        timing.on_arrival(request, self.name, self._loop.clock.now())
         mode = self.mode if self._random.random() < 0.5 else "well"
         if mode == "sheds":
             headers = {"galenaferry-not-executed": "1"}
             headers |= {"galenaferry-request-id": request}
+            headers |= self._limit_header(request)
             if self._random.random() < 0.5:
                 headers["retry-after"] = "0.8"
             connection.respond(503, headers, b"")
@@ -93,7 +109,7 @@
         self._record.runs_by_request[request] += 1
         self._record.services_by_request[request].add(self.service)
         now = self._loop.clock.now()
-        self._record.timing.on_execution(request, self.name, self.service, now)
+        timing.on_execution(request, self.name, self.service, now)
         self._loop.after(WORK_MS, lambda: self._respond(connection, request, mode))
 
     def _respond(self, connection: ServerConnection, request: str, mode: str) -> None:
@@ -106,6 +122,8 @@
         }
         if self.is_leaving:
             headers["server-leaving"] = "1"
+        if mode != "hangs":
+            headers |= self._limit_header(request)
         match mode:
             case "hangs":
                 return
@@ -118,6 +136,10 @@
                 text += "".join(f"{k}: {v}\r\n" for k, v in headers.items())
                 connection.stream.write(text.encode() + b"\r\n" + body)
                 self._loop.after(1.0, connection.close)
+            case "endless":
+                lines = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+                self._record.timing.on_endless_response(request)
+                connection.send_endlessly(f"HTTP/1.1 200 x\r\n{lines}\r\n".encode())
             case "extra":
                 connection.respond(200, headers, body)
                 delay_ms = WORK_MS * 2.0 * self._random.random()
@@ -127,6 +149,14 @@
             case _:
                 connection.respond(200, headers, body)
 
+    def _limit_header(self, request: str) -> dict[str, str]:
+        """Return the header that names the limit, and record that it was named."""
+        if self.limit is None:
+            return {}
+        now = self._loop.clock.now()
+        self._record.timing.on_limit_named(request, self.name, self.limit, now)
+        return {"server-limit": f"{self.limit:.1f}"}
+
 
 def expected_body(request: str) -> bytes:
     """Return the body of the correct response to a request."""
--- a/soak/tests/test_timing.py
+++ b/soak/tests/test_timing.py
@@ -101,3 +101,38 @@
         )
         == 1
     )
+
+
+def limited(*vms, count, limit=1.0):
+    """Return the events of requests that reach an instance after it named a limit."""
+    events = [("on_request_sent", f"q{n}", vm, 0.0) for n, vm in enumerate(vms)]
+    events += [
+        ("on_limit_named", f"q{n}", "i-1", limit, 100.0) for n in range(len(vms))
+    ]
+    for number in range(count):
+        vm = vms[number % len(vms)]
+        events += [
+            ("on_request_sent", f"r{number}", vm, 0.0),
+            ("on_arrival", f"r{number}", "i-1", 4_000.0 + number),
+        ]
+    return events
+
+
+def test_more_requests_than_a_limit_allows_are_reported():
+    other = ("127.0.0.3", 20000)
+    assert findings_of(*limited(VM, other, count=11)) == []
+    text = "i-1 got 12 requests with a limit of 1.0 a second"
+    assert findings_of(*limited(VM, other, count=12)) == [text]
+
+
+def test_requests_of_a_vm_that_started_again_do_not_count_toward_a_limit():
+    events = limited(VM, count=12)
+    restarted = ("on_vm_fault", VM, 3_000.0, 100.0)
+    assert findings_of(*events[:2], restarted, *events[2:]) == []
+
+
+def test_a_stop_may_cut_an_endless_response_at_the_timeout_of_its_route():
+    endless = ("on_endless_response", "b1")
+    late, early = (("on_connection_lost", "b1", at) for at in (11_500.0, 11_400.0))
+    assert findings_of(*SENT_AFTER_STOP, endless, late) == []
+    assert len(findings_of(*SENT_AFTER_STOP, endless, early)) == 1
--- a/soak/timing.py
+++ b/soak/timing.py
@@ -1,12 +1,14 @@
 """Timing checks of the soak.
 
-They cover draining instances, configuration changes and graceful shutdowns.
+They cover draining instances, configuration changes, graceful shutdowns and the request
+limits of instances.
 
 A violation is ignored if it overlaps a fault that may have caused it: a failing or
 unreachable store, or a killed or paused VM that received the request.
 """
 
 import math
+from typing import NamedTuple
 
 from galenaferry.clock import Millis
 
@@ -25,6 +27,35 @@
 period of 6 s."""
 
 
+ROUTE_TIMEOUT_MS = 2_000.0
+"""Timeout of the routes, at which a VM cuts off a response that has no end."""
+LIMIT_GRACE_MS = 3_000.0
+"""Time after an instance first named a limit from which the fleet must keep it."""
+LIMIT_TOLD_MS = 500.0
+"""Time after passing on a limit from which the requests of a VM count."""
+LIMIT_WINDOW_MS = 4_000.0
+
+
+class NamedLimit(NamedTuple):
+    """Limit of an instance since it was last undisturbed.
+
+    ``told_at_by_vm`` is when each VM first passed on a response that named it, and
+    ``arrivals`` the times of the requests that count.
+    """
+
+    first_named_at: Millis
+    told_at_by_vm: dict[Address, Millis]
+    arrivals: list[Millis]
+
+    def count(self, vm: Address, now: Millis) -> int:
+        """Count a request of a VM; return how many count in the window until now."""
+        told_at = self.told_at_by_vm.get(vm, math.inf)
+        if now < self.first_named_at + LIMIT_GRACE_MS or now < told_at + LIMIT_TOLD_MS:
+            return 0
+        self.arrivals.append(now)
+        return sum(at > now - LIMIT_WINDOW_MS for at in self.arrivals)
+
+
 class TimingChecks:
     """Events of one run and the violations that they show.
 
@@ -40,6 +71,9 @@
         self._sent_by_request: dict[str, tuple[Address, Millis]] = {}
         self._fault_spans_by_vm: dict[Address, list[tuple[Millis, Millis]]] = {}
         self._stopped_at_by_vm: dict[Address, Millis] = {}
+        self._endless_requests: set[str] = set()
+        self._named_limit_by_instance: dict[str, NamedLimit] = {}
+        self._limit_by_instance: dict[str, float] = {}
 
     def on_store_fault(self, begins_at: Millis, duration: Millis) -> None:
         """Excuse all violations during a store fault and the recovery from it."""
@@ -60,11 +94,48 @@
     def on_vm_stop(self, vm: Address, now: Millis) -> None:
         """Record the start of a VM's graceful shutdown."""
         self._stopped_at_by_vm[vm] = now
+        self._forget_limits_of(vm)
 
     def on_vm_fault(self, vm: Address, begins_at: Millis, duration: Millis) -> None:
         """Excuse violations of a VM while it is killed or paused and recovers."""
         span = begins_at, begins_at + duration + RECOVERY_MS
         self._fault_spans_by_vm.setdefault(vm, []).append(span)
+        self._forget_limits_of(vm)
+
+    def on_limit_disturbed(self, instance: str) -> None:
+        """Check the limit of an instance anew: it ended, or its link has a fault."""
+        self._named_limit_by_instance.pop(instance, None)
+
+    def on_limit_named(
+        self, request: str, instance: str, limit: float, now: Millis
+    ) -> None:
+        """Record that an instance names a limit in the response to a request."""
+        if request not in self._sent_by_request:
+            return
+        vm, _ = self._sent_by_request[request]
+        named = self._named_limit_by_instance.setdefault(
+            instance, NamedLimit(now, {}, [])
+        )
+        named.told_at_by_vm.setdefault(vm, now)
+        self._limit_by_instance[instance] = limit
+
+    def on_arrival(self, request: str, instance: str, now: Millis) -> None:
+        """Check that a request keeps to the limit of the instance that it reached."""
+        named = self._named_limit_by_instance.get(instance)
+        if named is None or request not in self._sent_by_request:
+            return
+        vm, _ = self._sent_by_request[request]
+        limit = self._limit_by_instance[instance]
+        count = named.count(vm, now)
+        if count > 1.5 * limit * LIMIT_WINDOW_MS / 1000.0 + 5.0:
+            text = (
+                f"{instance} got {count} requests with a limit of {limit:.1f} a second"
+            )
+            self._add_finding(vm, now - LIMIT_WINDOW_MS, now, text)
+
+    def _forget_limits_of(self, vm: Address) -> None:
+        for named in self._named_limit_by_instance.values():
+            named.told_at_by_vm.pop(vm, None)
 
     def on_execution(
         self, request: str, instance: str, service: str, now: Millis
@@ -84,9 +155,15 @@
             text = f"{request} went to {service} by an old configuration"
             self._add_finding(vm, sent_at - APPLY_MS, now, text)
 
+    def on_endless_response(self, request: str) -> None:
+        """Record that the response to a request has no end."""
+        self._endless_requests.add(request)
+
     def on_connection_lost(self, request: str, now: Millis) -> None:
         """Check that a connection without a response did not end by a shutdown."""
         vm, sent_at = self._sent_by_request[request]
+        if request in self._endless_requests and now >= sent_at + ROUTE_TIMEOUT_MS:
+            return
         stopped_at = self._stopped_at_by_vm.get(vm, math.inf)
         if sent_at < stopped_at + STOP_ACCEPT_MS and stopped_at <= now:
             text = f"{request} was cut by the graceful shutdown of {vm[0]}"
