Keep the limit of an instance that is missing from the list for a moment

Cause: limits of instances that are not listed were dropped at once. After an outage of the store entries lapse and come back within two seconds, and all VMs then sent as if the instance had named nothing. Evidence: test_a_limit_outlasts_a_lapse_of_the_instance_in_the_list failed before (2 requests in 4 s too many), passes now. Change: such a limit is dropped once there has been no news of it for the time after which it is forgotten anyway. The gauge counts listed instances.

--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -125,7 +125,7 @@
         self._instance_by_key = {instance_key(i.name): i for i in present}
         self._posteriors.retain_only(names)
         self._reachability.retain_only(names)
-        self._request_limits.retain_only(names)
+        self._request_limits.retain_only(names, self._loop.clock.now())
         for name in self._pool_by_name.keys() - names:
             self._pool_by_name.pop(name).close_all_idle()
         self._static_candidates.clear()
@@ -275,8 +275,11 @@
 
     @property
     def limited_count(self) -> int:
-        """Number of instances that limit their requests."""
-        return len(self._request_limits)
+        """Number of listed instances that limit their requests."""
+        return sum(
+            self._request_limits.per_second(instance.name) is not None
+            for instance in self._instance_by_key.values()
+        )
 
     def close_idle(self) -> None:
         """Close connections that were idle too long."""
--- a/src/galenaferry/placing/request_limits.py
+++ b/src/galenaferry/placing/request_limits.py
@@ -195,10 +195,14 @@
         limit = self._limit_by_name.get(name)
         return None if limit is None else round(limit.rate * 1000.0, 3)
 
-    def retain_only(self, names: frozenset[str]) -> None:
-        """Forget all instances but those in ``names``."""
+    def retain_only(self, names: frozenset[str], now: Millis) -> None:
+        """Forget instances that are not in ``names`` and of which there is no news.
+
+        An instance that is missing from the list for a moment still has its limit.
+        """
         for name in self._limit_by_name.keys() - names:
-            del self._limit_by_name[name]
+            if now >= self._limit_by_name[name].forget_at:
+                del self._limit_by_name[name]
 
     def _divide(self, limit: "_Limit", now: Millis) -> None:
         share = share_per_second(self._me, self._vms, limit.instance, limit.per_second)
--- a/src/galenaferry/placing/tests/limited_fleet.py
+++ b/src/galenaferry/placing/tests/limited_fleet.py
@@ -84,6 +84,11 @@
         """Stop a VM; the others go on counting it as live."""
         del self.placements[vm]
 
+    def list_instances(self, instances):
+        """Give all VMs a new list of instances."""
+        for placement in self.placements.values():
+            placement.replace_instances(instances)
+
     def set_views(self, view_of):
         """Give each VM the live VMs that ``view_of`` returns for it."""
         for vm, placement in self.placements.items():
--- a/src/galenaferry/placing/tests/test_limited_fleet.py
+++ b/src/galenaferry/placing/tests/test_limited_fleet.py
@@ -48,6 +48,18 @@
     assert fleet.excess(3) <= 0.0
 
 
+def test_a_limit_outlasts_a_lapse_of_the_instance_in_the_list():
+    fleet = LimitedFleet(rate=140.0)
+    fleet.limit_by_id["i-3"] = 1.0
+    fleet.run(10.0)
+    for _ in range(4):
+        fleet.list_instances(fleet.instances[4:])
+        fleet.run(2.0)
+        fleet.list_instances(fleet.instances)
+        fleet.run(2.0)
+    assert fleet.excess(3) <= 0.0
+
+
 def test_a_limited_instance_beside_others_gets_most_of_what_it_takes():
     fleet = LimitedFleet(rate=140.0)
     fleet.limit_by_id["i-3"] = 2.0
