Wait in the soak until VMs that were started again listen

Cause: the harness. vm-3's log: SIGTERM at 11:13:28.35, stopped 31.40, started again by the harness 7 s after the signal, 'started' at 37.95; the tables were asked 9 s after the last fault, 2.6 s of start included. It listened moments later. Change: before the tables are checked, up to 20 s are waited for VMs that refuse connections; one that never listens is reported as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,6 +29,8 @@
 SETTLE_MS = 9_000.0
 """Wait after the faults are ended, without new requests; longer than the at most 7 s
 until the last killed or stopped VM starts again."""
+MAX_START_WAIT_MS = 20_000.0
+"""Longest further wait for VMs that were started again and do not listen yet."""
 MAX_PENDING_WAIT_MS = 60_000.0
 """Longest further wait for requests that are still pending."""
 MEAN_FAULT_INTERVAL_MS = 400.0
@@ -67,6 +69,12 @@
     raise OSError("no free ports for the soak")
 
 
+def is_listening(address: tuple[str, int]) -> bool:
+    """Whether a process listens on an address."""
+    with socket.socket() as probe:
+        return probe.connect_ex(address) == 0
+
+
 class Soak:
     """One seeded run of a fleet with a store, instances and callers.
 
@@ -127,6 +135,7 @@
         while self.callers.pending_count and self.loop.clock.now() < ends_at:
             self._run_loop_for(REQUEST_INTERVAL_MS)
         self.callers.check_executions()
+        self._wait_for_vms()
         self._check_tables()
         if self.callers.pending_count:
             text = f"{self.callers.pending_count} requests have no end"
@@ -251,6 +260,14 @@
         for name, row in rows.items():
             self.store.put("servers", name, row)
 
+    def _wait_for_vms(self) -> None:
+        """Wait until all VMs listen again; ``_check_tables`` reports others."""
+        ends_at = self.loop.clock.now() + MAX_START_WAIT_MS
+        while self.loop.clock.now() < ends_at:
+            if all(is_listening(vm.readiness_address) for vm in self.vms):
+                return
+            self._run_loop_for(CHECK_MS)
+
     def _check_tables(self) -> None:
         """Check that each VM has the instances of the store and its era."""
         expected = {instance.name for instance in self.instances}
