--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,7 +4,6 @@
 import json
 import math
 import signal
-import socket
 import sys
 import tempfile
 from collections import deque
@@ -19,11 +18,11 @@
 from .callers import Callers
 from .fleet import Vm
 from .instances import MODES, ExecutionRecord, Instance
+from .ports import HARNESS_IP, find_free_port_block, is_listening
 from .proxy import DELAY_MS, Proxy
 from .proxy import FAULTS as LINK_FAULTS
 from .store import Store
 
-HARNESS_IP = "127.0.0.1"
 WARM_UP_MS = 4_000.0
 """Time between the start of the VMs and the first request."""
 SETTLE_MS = 9_000.0
@@ -35,7 +34,6 @@
 """Longest further wait for requests that are still pending."""
 MEAN_FAULT_INTERVAL_MS = 400.0
 REQUEST_INTERVAL_MS = 12.0
-FIRST_PORT, LAST_PORT = 20_000, 29_000
 DIRECT_PORT_OFFSET = 10_000
 """Offset from the port of an instance's proxy to the port of the instance itself."""
 COPIES = 8
@@ -46,35 +44,6 @@
 STORE_FAULTS = ("refuse", "silent", "lose")
 
 
-def find_free_port_block() -> int:
-    """Return the first port of a block of 100 that no other run uses.
-
-    Offsets in a block: 0 to 2 for callers, readiness and peers of the VMs, each VM on
-    an IP address of its own, 5 for the store's proxy, 6 for the store, and 11 and
-    above for the instances' proxies. A block counts as used if the port of the store
-    can't be bound.
-
-    Raises
-    ------
-    OSError
-        When all blocks are in use.
-    """
-    for port in range(FIRST_PORT, LAST_PORT, 100):
-        with socket.socket() as probe:
-            try:
-                probe.bind((HARNESS_IP, port + 6))
-            except OSError:
-                continue
-            return port
-    raise OSError("no free ports for the soak")
-
-
-def is_listening(address: tuple[str, int]) -> bool:
-    """Whether a process listens on an address."""
-    with socket.socket() as probe:
-        return probe.connect_ex(address) == 0
-
-
 class Soak:
     """One seeded run of a fleet with a store, instances and callers.
 
