Check in the soak that VMs heed a leaving instance before the store knows

Change: half of the leaving instances tell the store 4 s late. A request that a caller sends over 2 s after a VM passed on the announcement must not reach the instance from that VM; faults of the store don't excuse it, a restart or pause of the VM does. Limits and announcements count as told once the caller has the response. Tests: test_timing.py, both ways.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -41,6 +41,7 @@
 REWRITE_MS = 300.0
 """Time after a restore in which the operator and the instances write again."""
 CHECK_MS = 2_500.0
+STORE_TOLD_LATE_MS = 4_000.0
 STORE_FAULTS = ("refuse", "silent", "lose")
 
 
@@ -272,10 +273,15 @@
         self._leaving.append(instance)
         instance.is_leaving = True
         self._add_instance(instance.service)
+        # Half of them tell the store late, when responses have said it for long.
+        delay_ms = self.random.choice((0.0, STORE_TOLD_LATE_MS))
+        self.loop.after(delay_ms, lambda: self._report_draining(instance))
+        self.loop.after(delay_ms + 2_500.0, lambda: self._remove_row(instance))
+        self.loop.after(delay_ms + 4_000.0, instance.close)
+
+    def _report_draining(self, instance: Instance) -> None:
         self.store.put("servers", instance.name, instance.row("draining"))
         self.record.timing.on_instance_draining(instance.name, self.loop.clock.now())
-        self.loop.after(2_500.0, lambda: self._remove_row(instance))
-        self.loop.after(4_000.0, instance.close)
 
     def _remove_row(self, instance: Instance) -> None:
         self._leaving.remove(instance)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -102,6 +102,12 @@
         head = connection.head
         assert head is not None
         self.outcomes[str(head.status)] += 1
+        self._record.timing.on_answer_passed_on(
+            request,
+            head.header(b"server-limit") is not None,
+            head.header(b"server-leaving") is not None,
+            self._loop.clock.now(),
+        )
         self._check_response(request, connection)
         if head.header(b"connection") == b"close":
             return
--- a/soak/tests/test_timing.py
+++ b/soak/tests/test_timing.py
@@ -106,9 +106,12 @@
 def limited(*vms, count, limit=1.0):
     """Return the events of requests that reach an instance after it named a limit."""
     events = [("on_request_sent", f"q{n}", vm, 0.0) for n, vm in enumerate(vms)]
-    events += [
-        ("on_limit_named", f"q{n}", "i-1", limit, 100.0) for n in range(len(vms))
-    ]
+    for number in range(len(vms)):
+        events += [
+            ("on_execution", f"q{number}", "i-1", "one", 90.0),
+            ("on_limit_named", f"q{number}", "i-1", limit, 100.0),
+            ("on_answer_passed_on", f"q{number}", True, False, 110.0),
+        ]
     for number in range(count):
         vm = vms[number % len(vms)]
         events += [
@@ -128,7 +131,25 @@
 def test_requests_of_a_vm_that_started_again_do_not_count_toward_a_limit():
     events = limited(VM, count=12)
     restarted = ("on_vm_fault", VM, 3_000.0, 100.0)
-    assert findings_of(*events[:2], restarted, *events[2:]) == []
+    assert findings_of(*events[:4], restarted, *events[4:]) == []
+
+
+ANNOUNCED_LEAVING = (
+    ("on_request_sent", "q1", VM, 900.0),
+    ("on_execution", "q1", "i-1", "one", 950.0),
+    ("on_answer_passed_on", "q1", False, True, 1_000.0),
+)
+
+
+def test_a_request_to_an_instance_that_said_it_leaves_is_reported():
+    early, late = (("on_request_sent", "b1", VM, at) for at in (2_900.0, 3_100.0))
+    text = "b1 reached i-1, which said it leaves"
+    assert findings_of(*ANNOUNCED_LEAVING, early, RUNS_ON_DRAINING) == []
+    assert findings_of(*ANNOUNCED_LEAVING, late, RUNS_ON_DRAINING) == [text]
+    outage = ("on_store_fault", 0.0, 9_000.0)
+    assert findings_of(outage, *ANNOUNCED_LEAVING, late, RUNS_ON_DRAINING) == [text]
+    restart = ("on_vm_fault", VM, 2_000.0, 100.0)
+    assert findings_of(*ANNOUNCED_LEAVING, restart, late, RUNS_ON_DRAINING) == []
 
 
 def test_a_stop_may_cut_an_endless_response_at_the_timeout_of_its_route():
--- a/soak/timing.py
+++ b/soak/timing.py
@@ -72,6 +72,8 @@
         self._fault_spans_by_vm: dict[Address, list[tuple[Millis, Millis]]] = {}
         self._stopped_at_by_vm: dict[Address, Millis] = {}
         self._endless_requests: set[str] = set()
+        self._leaving_told_at: dict[tuple[Address, str], Millis] = {}
+        self._responding_instance_by_request: dict[str, str] = {}
         self._named_limit_by_instance: dict[str, NamedLimit] = {}
         self._limit_by_instance: dict[str, float] = {}
 
@@ -94,13 +96,13 @@
     def on_vm_stop(self, vm: Address, now: Millis) -> None:
         """Record the start of a VM's graceful shutdown."""
         self._stopped_at_by_vm[vm] = now
-        self._forget_limits_of(vm)
+        self._forget_announcements_to(vm)
 
     def on_vm_fault(self, vm: Address, begins_at: Millis, duration: Millis) -> None:
         """Excuse violations of a VM while it is killed or paused and recovers."""
         span = begins_at, begins_at + duration + RECOVERY_MS
         self._fault_spans_by_vm.setdefault(vm, []).append(span)
-        self._forget_limits_of(vm)
+        self._forget_announcements_to(vm)
 
     def on_limit_disturbed(self, instance: str) -> None:
         """Check the limit of an instance anew: it ended, or its link has a fault."""
@@ -112,11 +114,7 @@
         """Record that an instance names a limit in the response to a request."""
         if request not in self._sent_by_request:
             return
-        vm, _ = self._sent_by_request[request]
-        named = self._named_limit_by_instance.setdefault(
-            instance, NamedLimit(now, {}, [])
-        )
-        named.told_at_by_vm.setdefault(vm, now)
+        self._named_limit_by_instance.setdefault(instance, NamedLimit(now, {}, []))
         self._limit_by_instance[instance] = limit
 
     def on_arrival(self, request: str, instance: str, now: Millis) -> None:
@@ -133,7 +131,23 @@
             )
             self._add_finding(vm, now - LIMIT_WINDOW_MS, now, text)
 
-    def _forget_limits_of(self, vm: Address) -> None:
+    def on_answer_passed_on(
+        self, request: str, names_limit: bool, names_leaving: bool, now: Millis
+    ) -> None:
+        """Record that a VM passed on what the instance of a request announced."""
+        instance = self._responding_instance_by_request.get(request)
+        if instance is None:
+            return
+        vm, _ = self._sent_by_request[request]
+        named = self._named_limit_by_instance.get(instance)
+        if names_limit and named is not None:
+            named.told_at_by_vm.setdefault(vm, now)
+        if names_leaving:
+            self._leaving_told_at.setdefault((vm, instance), now)
+
+    def _forget_announcements_to(self, vm: Address) -> None:
+        for key in [key for key in self._leaving_told_at if key[0] == vm]:
+            del self._leaving_told_at[key]
         for named in self._named_limit_by_instance.values():
             named.told_at_by_vm.pop(vm, None)
 
@@ -143,11 +157,16 @@
         """Check that the instance and the service may still run the request."""
         if request not in self._sent_by_request:
             return
+        self._responding_instance_by_request[request] = instance
         vm, sent_at = self._sent_by_request[request]
         draining_at = self._draining_at_by_instance.get(instance)
         if draining_at is not None and sent_at > draining_at + DRAIN_TIMEOUT_MS:
             text = f"{request} reached {instance}, which leaves"
             self._add_finding(vm, draining_at, now, text)
+        told_at = self._leaving_told_at.get((vm, instance), math.inf)
+        if sent_at > told_at + DRAIN_TIMEOUT_MS:
+            # Disturbances of the store don't excuse a VM that was told.
+            self._findings.append(f"{request} reached {instance}, which said it leaves")
         if not request.startswith("b"):
             return
         allowed = self._allowed_services(sent_at)
