Move the buffering of answers out of the exchange

Change: AnswerWriter holds the answer that is sent or buffered; no change of behaviour. Conclusion: room for the check of requests that crash instances.

--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -31,10 +31,10 @@
 from ..routing.table import NoConfiguration, NoRoute, Route
 from .admission import TOKEN_RECHECK_MS, Admission, AttemptPermit
 from .announcements import record_announcements
+from .answer_writer import AnswerWriter
 from .attempt import Attempt
 from .attempt_recording import SentAttempt, record_attempt_outcome
 from .body import RequestBody
-from .buffered_answer import BufferedAnswer, is_bufferable
 from .context import RequestContext
 from .deadline import Deadline, request_timeout
 from .idempotency import make_keyed_request, refusal_for
@@ -73,14 +73,13 @@
     ) -> None:
         self._context = context
         self._sink = sink
+        self._answer = AnswerWriter(sink, context.settings.buffer_limit_bytes)
         self.head = head
         self.body = RequestBody()
         self.is_over = False
-        self.is_answer_started = False
         self._route: Route | None = None
         self._attempt: Attempt | None = None
         self._claim: ClaimHandle | None = None
-        self._buffered: BufferedAnswer | None = None
         self._instance: Instance | None = None
         self._tried_addresses: frozenset[str] = frozenset()
         self._share = NO_SHARE
@@ -187,7 +186,7 @@
             return
         self._context.counters.callers_left += 1
         if self._is_worth_finishing():
-            self._sink = DISCARDING_SINK
+            self._sink = self._answer.sink = DISCARDING_SINK
             self._context.detached.add(self)
             return
         self._abandon_attempt()
@@ -206,7 +205,7 @@
         An answer that has started can't be replaced: the connection is closed.
         """
         self._abandon_attempt()
-        if self.is_answer_started:
+        if self._answer.is_started:
             self._summary.set_outcome(0, reason, self._ran)
             self._close()
             self._sink.abort_answer()
@@ -276,11 +275,7 @@
         """Forward or buffer a part of the response body."""
         if self._claim is not None:
             self._claim.on_body(data)
-        if self._buffered is not None:
-            if not self._buffered.append(data):
-                self._release_buffered()
-            return
-        if not self._sink.send_answer_body(data) and self._attempt is not None:
+        if not self._answer.append(data) and self._attempt is not None:
             self._attempt.pause()
 
     def on_attempt_complete(self) -> None:
@@ -288,24 +283,15 @@
         self._context.counters.answered += 1
         if self._claim is not None and self._ran is Execution.ANSWERED:
             self._claim.settle_answered()
-        self._release_buffered()
+        self._answer.release()
+        self._summary.buffered_body_bytes = self._answer.buffered_bytes
         self._close()
         self._sink.end_answer()
 
-    def _release_buffered(self) -> None:
-        """Start the caller's answer with the buffered part of the response."""
-        buffered, self._buffered = self._buffered, None
-        if buffered is not None:
-            self.is_answer_started = True
-            body = buffered.body
-            self._summary.buffered_body_bytes = len(body)
-            self._sink.start_answer(buffered.head, buffered.extra)
-            self._sink.send_answer_body(body)
-
     def on_attempt_ended(self, outcome: AttemptOutcome) -> None:
         """Retry or answer after an attempt without a complete response."""
-        if isinstance(outcome, BrokenResponse) and self._buffered is not None:
-            self._buffered = None
+        if isinstance(outcome, BrokenResponse) and self._answer.is_buffering:
+            self._answer.discard()
             outcome = BrokenHeld(outcome.reason)
         evaluation = evaluate_outcome(outcome)
         self._record_attempt(outcome, evaluation)
@@ -542,21 +528,15 @@
         self._summary.set_outcome(head.status, "", self._ran)
         if self._claim is not None:
             self._claim.on_head(head)
-        limit = self._context.settings.buffer_limit_bytes
-        if is_bufferable(head, limit):
-            self._buffered = BufferedAnswer(head, extra, limit)
-            return
-        self.is_answer_started = True
-        if self._deadline is not None:
+        if self._answer.start(head, extra) and self._deadline is not None:
             self._deadline.cancel()
-        self._sink.start_answer(head, extra)
 
     def _on_deadline(self) -> None:
-        if self.is_over or self.is_answer_started:
+        if self.is_over or self._answer.is_started:
             return
         attempt = self._attempt
         if attempt is not None and not attempt.is_over and attempt.has_sent:
-            self._buffered = None
+            self._answer.discard()
             outcome = TimedOut(attempt.is_reused)
             attempt.abandon()
             self._record_attempt(outcome, evaluate_outcome(outcome))
