Log the fingerprint of a request whose connection was lost while it ran

Cause: a request's line has an id that is new with each repetition, so that the logs can't tell whether one request or many were in flight at the ends of instances. Change: a digest of caller, method, host, target and the start of the body, as field fingerprint of the lines of such requests.

--- /dev/null
+++ b/src/galenaferry/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the instances which run them (queries of death)."""
--- /dev/null
+++ b/src/galenaferry/crashes/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the crashes package."""
--- a/src/galenaferry/requests/body.py
+++ b/src/galenaferry/requests/body.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from ..crashes.fingerprint import body_digest
+
 REPLAY_LIMIT_BYTES: Final = 65_536
 """Largest body that is kept after sending, for another attempt."""
 
@@ -13,11 +15,19 @@
     attempt can send them again. ``size`` is the number of bytes that have arrived.
     """
 
-    __slots__ = ("_parts", "_sent_parts", "is_complete", "is_replayable", "size")
+    __slots__ = (
+        "_digest",
+        "_parts",
+        "_sent_parts",
+        "is_complete",
+        "is_replayable",
+        "size",
+    )
 
     def __init__(self) -> None:
         self._parts: list[bytes] = []
         self._sent_parts = 0
+        self._digest = b""
         self.is_complete = False
         self.is_replayable = True
         self.size = 0
@@ -41,11 +51,16 @@
         """Return the unsent parts and mark them as sent."""
         parts = self._parts[self._sent_parts :]
         if self.size > REPLAY_LIMIT_BYTES:
+            self._digest = self.digest()
             self.is_replayable = False
             self._parts.clear()
         self._sent_parts = len(self._parts)
         return parts
 
+    def digest(self) -> bytes:
+        """Return the digest of the first ``REPLAY_LIMIT_BYTES`` that have arrived."""
+        return self._digest or body_digest(b"".join(self._parts)[:REPLAY_LIMIT_BYTES])
+
     def rewind(self) -> None:
         """Mark all kept parts as unsent, for another attempt."""
         self._sent_parts = 0
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -30,6 +30,7 @@
     """
 
     __slots__ = (
+        "_address",
         "_answered_at",
         "_context",
         "_exchanges",
@@ -67,6 +68,7 @@
             self, RequestLimits(limits.head_bytes, limits.body_bytes)
         )
         self._stream = Stream(context.loop, sock, self, is_connecting=False)
+        self._address = self._stream.peer.rpartition(":")[0]
 
     @property
     def is_idle(self) -> bool:
@@ -145,7 +147,7 @@
         """Start the next request or queue it (called by the reader)."""
         if self._is_input_ended:
             return
-        exchange = Exchange(self._context, self, head)
+        exchange = Exchange(self._context, self, head, self._address)
         self._exchanges.append(exchange)
         self._is_reading_body = True
         if len(self._exchanges) == 1:
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -26,6 +26,7 @@
 from ..claims.messages import ClaimOutcome, Granted, KeyedRequest, Replayed
 from ..clock import Millis
 from ..configuration.policy import WAIT
+from ..crashes.fingerprint import head_digest
 from ..framing.heads import encode_request
 from ..framing.messages import Header, RequestHead, ResponseHead
 from ..routing.table import NoConfiguration, NoRoute, Route
@@ -45,7 +46,7 @@
 from .queueing import join_wait_queue
 from .retries import acquire_retry
 from .sinks import DISCARDING_SINK, AnswerSink
-from .summary import RequestSummary
+from .summary import LOST_WHILE_RUNNING, RequestSummary
 from .wait_queue import Waiter
 
 UNSENT_LIMIT_BYTES: Final = 262_144
@@ -66,15 +67,22 @@
     context : RequestContext
     sink : AnswerSink
     head : RequestHead
+    caller : str
+        IP address of the caller, empty if unknown.
     """
 
     def __init__(
-        self, context: RequestContext, sink: AnswerSink, head: RequestHead
+        self,
+        context: RequestContext,
+        sink: AnswerSink,
+        head: RequestHead,
+        caller: str = "",
     ) -> None:
         self._context = context
         self._sink = sink
         self._answer = AnswerWriter(sink, context.settings.buffer_limit_bytes)
         self.head = head
+        self._caller = caller
         self.body = RequestBody()
         self.is_over = False
         self._route: Route | None = None
@@ -510,6 +518,10 @@
         started_at = self._attempt_started_at
         took = self._context.loop.clock.now() - started_at
         self._summary.add_attempt(instance, outcome, took)
+        if isinstance(outcome, LOST_WHILE_RUNNING):
+            self._summary.fingerprint = (
+                head_digest(self._caller, self.head) + self.body.digest()
+            )
         if is_timeout(outcome) and took < route.target_latency:
             # The instance had less time than the target latency of the route, so that
             # the timeout is no evidence against it.
--- a/src/galenaferry/requests/summary.py
+++ b/src/galenaferry/requests/summary.py
@@ -4,6 +4,9 @@
 
 from ..attempts.messages import (
     AttemptOutcome,
+    BrokenHeld,
+    BrokenResponse,
+    BrokenSent,
     BrokenUnsent,
     Execution,
     Misdirected,
@@ -15,6 +18,8 @@
 UNDELIVERED: Final = (NotConnected, BrokenUnsent, Misdirected)
 """Outcomes of attempts that reached no instance, or another one at the address of an
 instance that has ended."""
+LOST_WHILE_RUNNING: Final = (BrokenSent, BrokenHeld, BrokenResponse)
+"""Outcomes of attempts whose connection may have ended with its instance."""
 
 
 class RequestSummary:
@@ -22,6 +27,8 @@
 
     ``sent_count`` is the number of attempts that may have reached their instance, and
     ``buffered_body_bytes`` the length of the answer's body if it was buffered.
+    ``fingerprint`` tells which requests are the same one (``crashes.fingerprint``); it
+    is empty unless a connection was lost while its instance may have run the request.
 
     Parameters
     ----------
@@ -33,6 +40,7 @@
     __slots__ = (
         "_attempts",
         "buffered_body_bytes",
+        "fingerprint",
         "ran",
         "reason",
         "request_id",
@@ -51,6 +59,7 @@
         self.ran = Execution.NOT_RUN
         self.sent_count = 0
         self.buffered_body_bytes = 0
+        self.fingerprint = b""
         self._attempts: list[tuple[str, str, int]] = []
 
     @property
@@ -87,7 +96,7 @@
 
     def log_fields(self, now: Millis) -> dict[str, Any]:
         """Return the fields of the request's log line."""
-        return {
+        fields: dict[str, Any] = {
             "request": self.request_id.decode("latin-1"),
             "route": self.route,
             "status": self.status,
@@ -96,3 +105,6 @@
             "took_ms": int(now - self.started_at),
             "attempts": self._attempts,
         }
+        if self.fingerprint:
+            fields["fingerprint"] = self.fingerprint.hex()
+        return fields
