Show that a request which crashes each instance goes on reaching instances (fails)

What callers saw: 502 for whoever was in flight at an instance that such a request ended; stock-lookup served by halves.

--- /dev/null
+++ b/src/galenaferry/tests/fleet.py
@@ -0,0 +1,411 @@
+"""A whole fleet on one loop and a fake clock: callers, VMs and instances.
+
+Requests travel over real sockets of the loopback range; messages between VMs are calls
+with a delay, of which a share can be lost.
+"""
+
+import socket
+from collections import Counter, deque
+from random import Random
+from typing import NamedTuple
+
+from circuits import Component
+
+from galenaferry.attempts.fleet_budget import BudgetBounds, FleetBudgets
+from galenaferry.backends.messages import Instance
+from galenaferry.backends.ownership import Vm
+from galenaferry.clock import FakeClock
+from galenaferry.framing.limits import CallerLimits
+from galenaferry.framing.messages import RequestHead
+from galenaferry.framing.requests import RequestLimits, RequestReader
+from galenaferry.network.listener import Listener
+from galenaferry.network.loop import Loop
+from galenaferry.network.stream import Stream
+from galenaferry.placing.component import Placement, PlacementSettings
+from galenaferry.platform.headers import HEADER_NAMES
+from galenaferry.requests.component import RequestsComponent
+from galenaferry.requests.context import RequestContext
+from galenaferry.requests.interface import RequestSettings
+from galenaferry.routing.hosts import (
+    HostRoute,
+    HostRouteTable,
+    RoutingDocument,
+    ServiceSettings,
+    WeightedService,
+)
+
+ZONES = ("north", "south", "west")
+HOST = "127.0.0.1"
+STEP_MS = 2.0
+MESSAGE_DELAY_MS = 30.0
+LIST_DELAY_MS = 300.0
+"""Time after which the VMs hear of an instance that starts."""
+EXPIRY_MS = 4_500.0
+"""Time after which the row of an instance that crashed is removed."""
+DEADLINE_MS = 6_000
+RETRY_BUDGET = BudgetBounds(ratio=0.2, slack=62.0, window=10_000.0)
+REQUEST_SETTINGS = RequestSettings(
+    names=HEADER_NAMES,
+    buffer_limit_bytes=1 << 20,
+    is_half_close_disconnect=True,
+    shed_retry_timeout=0.0,
+    is_shed_counted_as_attempt=True,
+    is_503_only_for_not_run=True,
+    is_deadline_extended_by_uploads=False,
+    is_request_id_echoed=True,
+    certifying_statuses=None,
+)
+
+
+def make_document(version=1, max_attempts=9):
+    """Return routes for ``/read/`` (idempotent) and ``/book/`` to one service."""
+    routes = tuple(
+        HostRoute(
+            name=prefix.decode(),
+            host=b"a",
+            prefix=b"/%b/" % prefix,
+            weighted_services=(WeightedService("bookings", 1.0),),
+            is_idempotent=prefix == b"read",
+            max_attempts=max_attempts,
+            total_timeout=float(DEADLINE_MS),
+            target_latency=2_000.0,
+            priority=0,
+        )
+        for prefix in (b"read", b"book")
+    )
+    services = {"bookings": ServiceSettings("bookings", 330, "/health")}
+    return RoutingDocument(version, routes, services, CallerLimits())
+
+
+class Arrival(NamedTuple):
+    """A request that reached an instance."""
+
+    at: float
+    target: bytes
+    instance: str
+
+
+class SimulatedInstance:
+    """Instance with slots and a queue, which some requests crash."""
+
+    def __init__(self, fleet, number, version="v1", slots=6, work_ms=60.0):
+        self.fleet = fleet
+        self.slots = slots
+        self.work_ms = work_ms
+        self.busy = 0
+        self.is_up = True
+        self.is_mute = False
+        self.queue = deque()
+        self.connections = set()
+        self.listener = Listener(fleet.loop, (HOST, 0), self._accept)
+        self.instance = Instance(
+            f"{HOST}:{self.listener.port}",
+            "bookings",
+            ZONES[number % len(ZONES)],
+            False,
+            f"i-{number}",
+            1,
+            **({"version": version} if "version" in Instance._fields else {}),
+        )
+        self.version = version
+
+    def crash(self):
+        """End: close the listener and all connections at once."""
+        self.is_up = False
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.stream.close()
+
+    def run(self, connection):
+        """Begin to run a request, or queue it."""
+        if self.busy >= self.slots:
+            self.queue.append(connection)
+            return
+        self.busy += 1
+        self.fleet.loop.after(self.work_ms, lambda: self._finish(connection))
+
+    def _finish(self, connection):
+        if not self.is_up:
+            return
+        self.busy -= 1
+        target = connection.head.target
+        if (target, connection.body) in self.fleet.crashing and (
+            self.version in self.fleet.crashing_versions
+        ):
+            self.fleet.on_crash(self, target)
+            return
+        connection.respond(b"200 OK", b"done " + target)
+        while self.queue and self.busy < self.slots:
+            waiting = self.queue.popleft()
+            if waiting.stream.is_open:
+                self.run(waiting)
+
+    def _accept(self, sock):
+        self.connections.add(InstanceConnection(self, sock))
+
+
+class InstanceConnection:
+    """A connection from a VM to an instance."""
+
+    def __init__(self, server, sock):
+        self.server = server
+        self.reader = RequestReader(self, RequestLimits(65_536, 1 << 30))
+        self.stream = Stream(server.fleet.loop, sock, self, is_connecting=False)
+
+    def respond(self, status, body, extra=b""):
+        if not self.stream.is_open:
+            return
+        request_id = self.head.header(HEADER_NAMES.request_id)
+        self.stream.write(
+            b"HTTP/1.1 %b\r\ncontent-length: %d\r\n%b: %b\r\n%b: s\r\n%b\r\n%b"
+            % (
+                status,
+                len(body),
+                HEADER_NAMES.request_id,
+                request_id,
+                HEADER_NAMES.signature,
+                extra,
+                body,
+            )
+        )
+
+    def on_head(self, head: RequestHead):
+        self.head, self.body = head, b""
+
+    def on_body(self, data):
+        self.body += data
+
+    def on_complete(self):
+        server = self.server
+        expected = self.head.header(HEADER_NAMES.expected_instance)
+        if expected != server.instance.id.encode():
+            self.respond(b"421 Misdirected Request", b"")
+            return
+        server.fleet.arrivals.append(
+            Arrival(server.fleet.clock.now(), self.head.target, server.instance.id)
+        )
+        if not server.is_mute:
+            server.run(self)
+
+    def on_connected(self):
+        return
+
+    def on_data(self, data):
+        self.reader.feed(data)
+
+    def on_drained(self):
+        return
+
+    def on_ended(self, reason):
+        self.server.connections.discard(self)
+        self.stream.close()
+
+
+class Request:
+    """A request of a caller on a connection of its own."""
+
+    def __init__(self, fleet, vm, method, target, body=b"", caller=1, chunks=0):
+        self.fleet = fleet
+        self.vm = vm
+        self.target = target
+        self.sent_at = fleet.clock.now()
+        self.answered_at = None
+        self.status = 0
+        self.received = b""
+        sock = socket.socket()
+        # The whole range 127.0.0.0/8 is local, so each caller has an address.
+        sock.bind((f"127.0.{caller // 250}.{caller % 250 + 2}", 0))
+        sock.connect((HOST, vm.component.port))
+        sock.setblocking(False)
+        self.stream = Stream(fleet.loop, sock, self, is_connecting=False)
+        fleet.request_count += 1
+        head = (
+            f"{method} {target} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+            f"Galenaferry-Request-Id: q{fleet.request_count}\r\n"
+            f"Galenaferry-Request-Deadline-Ms: {DEADLINE_MS}\r\n"
+        )
+        if chunks:
+            parts = [body[i : i + chunks] for i in range(0, len(body), chunks)]
+            encoded = [b"%x\r\n%b\r\n" % (len(part), part) for part in parts]
+            self.stream.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+            for number, part in enumerate([*encoded, b"0\r\n\r\n"]):
+                fleet.loop.after(20.0 * number, lambda p=part: self.stream.write(p))
+        else:
+            length = f"Content-Length: {len(body)}\r\n\r\n"
+            self.stream.write(f"{head}{length}".encode() + body)
+
+    def on_connected(self):
+        return
+
+    def on_data(self, data):
+        self.received += data
+
+    def on_drained(self):
+        return
+
+    def on_ended(self, reason):
+        self.stream.close()
+        self.answered_at = self.fleet.clock.now()
+        if self.received:
+            self.status = int(self.received.split(b" ", 2)[1])
+        self.fleet.outcomes[self.vm.name, self.status] += 1
+
+    def header(self, name):
+        head = self.received.partition(b"\r\n\r\n")[0].decode().lower()
+        lines = dict(line.split(": ", 1) for line in head.split("\r\n")[1:])
+        return lines.get(name)
+
+
+class FleetVm:
+    """One VM: its placement and request path."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.number = number
+        self.vm = Vm(f"10.0.{number}.1:7000", ZONES[number % len(ZONES)])
+        self.name = f"vm-{number}"
+        self.placement = Placement(
+            fleet.loop,
+            PlacementSettings(self.vm.zone, 0.7),
+            Random(fleet.random.random()),
+            lambda outcomes: fleet.broadcast(self, outcomes),
+        )
+        routes = HostRouteTable(20, Random(number))
+        routes.replace_if_newer(fleet.document)
+        self.context = RequestContext(
+            fleet.loop,
+            self.placement,
+            routes,
+            self.placement,
+            Random(number),
+            settings=REQUEST_SETTINGS,
+            budgets=FleetBudgets(
+                RETRY_BUDGET, fleet.clock, lambda: len(fleet.vms), True
+            ),
+            limits=lambda: routes.limits,
+            retry_after=lambda service: 300.0,
+            overdue_policy=self.placement,
+        )
+        self.component = RequestsComponent(self.context, (HOST, 0))
+
+    def on_outcomes(self, sender, outcomes):
+        self.placement.on_outcomes(sender, outcomes)
+
+    def replace_instances(self, instances):
+        self.placement.replace_instances(instances)
+
+    def set_live_vms(self, vms):
+        self.placement.set_live_vms(self.vm, vms)
+
+
+class Fleet:
+    """VMs, instances and callers; ``crashing`` holds targets and bodies.
+
+    ``loss`` is the share of the messages between VMs that are lost.
+    """
+
+    def __init__(self, vms=6, instances=9, loss=0.0, seed=1, **instance_parts):
+        self.random = Random(seed)
+        self.clock = FakeClock(100_000.0)
+        self.loop = Loop(self.clock)
+        self.loop.register(Component())
+        self.document = make_document()
+        self.loss = loss
+        self.crashing = set()
+        self.crashing_versions = {"v1"}
+        self.crashes = []
+        self.arrivals = []
+        self.outcomes = Counter()
+        self.request_count = 0
+        self.instance_parts = instance_parts
+        self.servers = []
+        self.listed = []
+        self._instance_count = 0
+        self.vms = []
+        for _ in range(instances):
+            self.listed.append(self.add_instance().instance)
+        for number in range(vms):
+            self.vms.append(FleetVm(self, number))
+        self._settle()
+
+    def restart(self, number):
+        """Start a VM again, without what it knew."""
+        self.vms[number].component._listener.close()
+        self.vms[number] = FleetVm(self, number)
+        self._settle()
+
+    def _settle(self):
+        live = tuple(sorted(vm.vm for vm in self.vms))
+        for vm in self.vms:
+            vm.set_live_vms(live)
+        self.list_instances()
+
+    def add_instance(self, **parts):
+        self._instance_count += 1
+        server = SimulatedInstance(
+            self, self._instance_count, **(self.instance_parts | parts)
+        )
+        self.servers.append(server)
+        return server
+
+    def list_instances(self):
+        for vm in self.vms:
+            vm.replace_instances(tuple(self.listed))
+
+    def on_crash(self, server, target):
+        """End an instance; another one starts seconds later at another address."""
+        self.crashes.append((self.clock.now(), target, server.instance.id))
+        server.crash()
+        self.servers.remove(server)
+        self.loop.after(EXPIRY_MS, lambda: self._remove(server.instance))
+        self.loop.after(2_000.0, lambda: self._replace(server.version))
+
+    def _remove(self, instance):
+        self.listed.remove(instance)
+        self.list_instances()
+
+    def _replace(self, version):
+        instance = self.add_instance(version=version).instance
+
+        def show():
+            self.listed.append(instance)
+            self.list_instances()
+
+        self.loop.after(LIST_DELAY_MS, show)
+
+    def broadcast(self, sender, outcomes):
+        for vm in self.vms:
+            if vm is not sender and self.random.random() >= self.loss:
+                self.loop.after(
+                    MESSAGE_DELAY_MS,
+                    lambda vm=vm: vm.on_outcomes(sender.vm.address, outcomes),
+                )
+
+    def get(self, target, caller=1, vm=None):
+        vm = vm or self.random.choice(self.vms)
+        return Request(self, vm, "GET", target, b"", caller)
+
+    def post(self, target, body, caller=1, vm=None, chunks=0):
+        vm = vm or self.random.choice(self.vms)
+        return Request(self, vm, "POST", target, body, caller, chunks)
+
+    def run(self, seconds, *streams):
+        """Run for some seconds; ``streams`` are pairs of interval in ms and callable.
+
+        A callable is called at its interval, with the number of its calls before.
+        """
+        ends_at = self.clock.now() + seconds * 1_000.0
+        due = [[self.clock.now(), 0] for _ in streams]
+        while self.clock.now() < ends_at:
+            for state, (interval, send) in zip(due, streams, strict=True):
+                if self.clock.now() >= state[0]:
+                    state[0] += interval
+                    state[1] += 1
+                    send(state[1])
+            # Data crosses a loopback socket within one poll; three cover a hop.
+            for _ in range(3):
+                self.loop.poll(0.0)
+            self.clock.advance(STEP_MS)
+
+    def arrivals_of(self, target, since=0.0):
+        return [a for a in self.arrivals if a.target == target and a.at >= since]
