Keep a request that crashes instances from reaching more of them

Cause: nothing remembered which requests were in flight when an instance crashed; each crash was put down to the instance, and the same request, with a new id, to none. Class: a query of death; a cause that travels with the request and is looked for at the server. Ruled out: instances that end of their load (the simulated ones bear any load); retries within an attempt (the booking is never retried). Change: package crashes. A VM whose connection ends while a request runs checks whether the instance still accepts connections. If not, it tells all VMs which requests were in flight, by a digest of caller, method, host, target and the start of the body; three others check the instance, since the first one's link may be at fault. A suspect is tried alone in the fleet, paused for 10 s after two crashes, and blocked after three: refused at once with 503, without Retry-After, until instances of another version run, at which the fleet tries it once (a conditional insert in the store). An answer by any instance clears it. Blocked requests are kept in the store for restarts of the whole fleet; news is repeated and passed on to random VMs. Why it works: what is counted are crashes, by instance and birth, under one fingerprint without an answer in between, over all VMs; a harmless request is answered somewhere, the other one never.

--- a/soak/store.py
+++ b/soak/store.py
@@ -88,7 +88,13 @@
             case "/rows-feed":
                 self._respond_feed(connection, query["table"], int(query["after"]))
             case "/rows-tx":
-                for row in json.loads(connection.body)["put"]:
+                body = json.loads(connection.body)
+                keys = [(row["table"], row["key"]) for row in body["expected"]]
+                if any(self.value_by_row_key.get(key) is not None for key in keys):
+                    # Callers expect only rows that don't exist.
+                    connection.respond(412, self._headers(), b'{"rows": []}')
+                    return
+                for row in body["put"]:
                     value = json.loads(base64.b64decode(row["value"]))
                     self.put(row["table"], row["key"], value)
                 self._respond_rows(connection, [])
--- a/src/galenaferry/backends/messages.py
+++ b/src/galenaferry/backends/messages.py
@@ -15,7 +15,7 @@
     number of requests that it processes at a time, 0 if not provided; decisions use
     ``Policy.slots_per_instance`` instead. ``cold_until`` is the monotonic time in
     milliseconds until which it is slow after its start. ``sequence`` grows with each
-    report that the instance makes of itself.
+    report that the instance makes of itself. ``version`` is that of its software.
     """
 
     address: str
@@ -27,6 +27,7 @@
     slots: int = 0
     cold_until: float = 0.0
     sequence: int = 0
+    version: str = ""
 
     @property
     def name(self) -> str:
--- /dev/null
+++ b/src/galenaferry/crashes/blocked_table.py
@@ -0,0 +1,178 @@
+"""Table of blocked requests in the store, which outlasts restarts of the whole fleet.
+
+A row has the fingerprint in hexadecimal as its key. A trial of a blocked request at
+instances of a version is claimed by inserting a row of its own, so that the fleet tries
+each version once.
+"""
+
+import json
+from collections.abc import Callable, Iterable
+from functools import partial
+from random import Random
+from typing import Any, Final
+
+import xxhash
+from result import Err, Ok, Result
+
+from ..clock import Millis
+from ..discovery.messages import (
+    NO_VERSION,
+    HistoryLost,
+    StoreVersion,
+    TableError,
+    TableRow,
+    TableUpdate,
+)
+from ..logs import logger
+from ..network.loop import Loop
+from .store import BlockedStore
+
+RETRY_DELAY_MS: Final[Millis] = 1_000.0
+"""Delay before a failed call is repeated."""
+REWRITE_SPREAD_MS: Final[Millis] = 1_000.0
+"""Time over which VMs write their rows again after a restore of the store."""
+CLAIM_SEPARATOR: Final = "/"
+
+log = logger("crashes")
+
+FetchFromPeer = Callable[
+    [Callable[[Result[TableUpdate, TableError]], None]],
+    None,
+]
+"""Fetches the table from another VM and calls back."""
+
+
+class BlockedTable:
+    """This VM's access to the table.
+
+    Parameters
+    ----------
+    loop : Loop
+    store : BlockedStore
+    name : str
+        Name of the table.
+    random : Random
+    fetch_from_peer : callable
+        Used while the store does not respond.
+    on_loaded : callable
+        Gets the blocked requests and the versions that they crash.
+    blocked : callable
+        Returns the requests that this VM blocks now.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        store: BlockedStore,
+        name: str,
+        random: Random,
+        fetch_from_peer: FetchFromPeer,
+        on_loaded: Callable[[dict[bytes, frozenset[str]]], None],
+        blocked: Callable[[], dict[bytes, frozenset[str]]],
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self._name = name
+        self._random = random
+        self._fetch_from_peer = fetch_from_peer
+        self._on_loaded = on_loaded
+        self._blocked = blocked
+        self._unsaved: dict[bytes, frozenset[str] | None] = {}
+
+    def load(self) -> None:
+        """Read the table, from another VM if the store does not respond."""
+        self._store.read_all(self._name, self._on_read)
+
+    def save(self, fingerprint: bytes, versions: frozenset[str] | None) -> None:
+        """Write that a request is blocked, or with None that it no longer is."""
+        self._unsaved[fingerprint] = versions
+        self._write(fingerprint)
+
+    def on_restored(self) -> None:
+        """Write all rows again: the store's older copy may lack some."""
+        for fingerprint, versions in self._blocked().items():
+            self._unsaved[fingerprint] = versions
+            delay = REWRITE_SPREAD_MS * self._random.random()
+            self._loop.after(delay, partial(self._write, fingerprint))
+
+    def claim_trial(
+        self, fingerprint: bytes, version: str, done: Callable[[bool], None]
+    ) -> None:
+        """Claim the trial of a request at a version; false also without the store."""
+        digest = xxhash.xxh64_hexdigest(version.encode())
+        key = f"{fingerprint.hex()}{CLAIM_SEPARATOR}{digest}"
+        value = json.dumps({"version": version}).encode()
+
+        def finish(error: str) -> None:
+            if error:
+                log.info("no trial of a blocked request", key=key, reason=error)
+            else:
+                log.info("trial of a blocked request", key=key, version=version)
+            done(not error)
+
+        self._store.insert(self._name, key, value, finish)
+
+    def update_since(self, after: StoreVersion) -> TableUpdate:
+        """Return all rows of this VM's blocked requests, for another VM."""
+        rows = tuple(
+            TableRow(fingerprint.hex(), _encode(versions))
+            for fingerprint, versions in self._blocked().items()
+        )
+        return TableUpdate(NO_VERSION, rows, is_snapshot=True)
+
+    def _on_read(self, result: Result[TableUpdate | HistoryLost, TableError]) -> None:
+        match result:
+            case Ok(TableUpdate() as update):
+                self._apply(update.rows)
+            case Err(error):
+                log.warning("blocked requests could not be read", error=error.text)
+                self._fetch_from_peer(self._on_fetched)
+                self._loop.after(RETRY_DELAY_MS, self.load)
+
+    def _on_fetched(self, result: Result[TableUpdate, TableError]) -> None:
+        if isinstance(result, Ok):
+            self._apply(result.ok_value.rows)
+
+    def _apply(self, rows: Iterable[TableRow]) -> None:
+        versions_by_fingerprint: dict[bytes, frozenset[str]] = {}
+        for row in rows:
+            if row.value is None or CLAIM_SEPARATOR in row.key:
+                continue
+            try:
+                data: Any = json.loads(row.value)
+                if data["is_blocked"]:
+                    versions = frozenset(str(version) for version in data["versions"])
+                    versions_by_fingerprint[bytes.fromhex(row.key)] = versions
+            except (ValueError, KeyError, TypeError) as error:
+                log.warning(
+                    "invalid row of a blocked request", row=row.key, error=repr(error)
+                )
+        if versions_by_fingerprint:
+            log.info("blocked requests read", count=len(versions_by_fingerprint))
+            self._on_loaded(versions_by_fingerprint)
+
+    def _write(self, fingerprint: bytes) -> None:
+        if fingerprint not in self._unsaved:
+            return
+        versions = self._unsaved[fingerprint]
+
+        def finish(error: str) -> None:
+            if not error:
+                if self._unsaved.get(fingerprint, versions) == versions:
+                    self._unsaved.pop(fingerprint, None)
+                return
+            log.warning(
+                "a blocked request could not be stored",
+                fingerprint=fingerprint.hex(),
+                error=error,
+            )
+            self._loop.after(RETRY_DELAY_MS, lambda: self._write(fingerprint))
+
+        self._store.put(self._name, fingerprint.hex(), _encode(versions), finish)
+
+
+def _encode(versions: frozenset[str] | None) -> bytes:
+    is_blocked = versions is not None
+    return json.dumps(
+        {"is_blocked": is_blocked, "versions": sorted(versions or ())}
+    ).encode()
--- /dev/null
+++ b/src/galenaferry/crashes/connect_check.py
@@ -0,0 +1,44 @@
+"""Check whether an instance accepts connections, without sending a request."""
+
+from collections.abc import Callable
+from typing import Final
+
+from ..clock import Millis
+from ..ini import parse_address
+from ..network.loop import Loop
+from ..network.stream import connect
+
+CONNECT_TIMEOUT_MS: Final[Millis] = 300.0
+"""The connect timeout of requests (``routing.hosts``)."""
+
+
+class ConnectCheck:
+    """One connection to ``address`` (IP:PORT), closed as soon as it is established.
+
+    ``done`` is called once with whether the connection was accepted.
+    """
+
+    def __init__(self, loop: Loop, address: str, done: Callable[[bool], None]) -> None:
+        self._done: Callable[[bool], None] | None = done
+        self._stream = connect(loop, parse_address(address), self)
+        loop.after(CONNECT_TIMEOUT_MS, lambda: self._finish(False))
+
+    def on_connected(self) -> None:
+        """Handle that the instance accepts (called by the stream)."""
+        self._finish(True)
+
+    def on_data(self, data: bytes) -> None:
+        """Do nothing: nothing was asked (called by the stream)."""
+
+    def on_drained(self) -> None:
+        """Do nothing: nothing is sent (called by the stream)."""
+
+    def on_ended(self, reason: str) -> None:
+        """Handle that the connection failed (called by the stream)."""
+        self._finish(False)
+
+    def _finish(self, is_accepted: bool) -> None:
+        done, self._done = self._done, None
+        if done is not None:
+            self._stream.close()
+            done(is_accepted)
--- a/src/galenaferry/health/messages.py
+++ b/src/galenaferry/health/messages.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from ..crashes.messages import CrashNote
 from .posteriors import Outcome
 
 
@@ -76,10 +77,12 @@
     """Outcomes that VMs saw and that other VMs should apply to their posteriors.
 
     ``is_for_zone`` says that the receiver should send them on to the VMs of its zone.
+    ``crash_notes`` are about requests that may crash instances.
     """
 
     instance_outcomes: tuple[InstanceOutcome, ...]
     is_for_zone: bool = False
+    crash_notes: tuple[CrashNote, ...] = ()
 
 
 def instance_key(identity: str) -> int:
--- a/src/galenaferry/node/adapter.py
+++ b/src/galenaferry/node/adapter.py
@@ -23,18 +23,24 @@
     ) -> None:
         """Write a row; ``done`` is called with the error, empty on success."""
 
+    def insert(
+        self, table: str, key: str, value: bytes, done: Callable[[str], None]
+    ) -> None:
+        """Write a row unless there is one; ``done`` gets the error as for ``put``."""
+
 
 class TableNames(NamedTuple):
     """Names of tables in the store.
 
     ``configuration_key`` is the key of the configuration's row in its table. ``vms``
-    is a table that only the VMs of the fleet write.
+    and ``blocked_requests`` are tables that only the VMs of the fleet write.
     """
 
     configuration: str
     configuration_key: str
     instances: str
     vms: str
+    blocked_requests: str
 
 
 class Adapter(NamedTuple):
--- a/src/galenaferry/node/broadcasts.py
+++ b/src/galenaferry/node/broadcasts.py
@@ -7,11 +7,12 @@
 zone.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from random import Random
 from typing import Final
 
 from ..clock import Millis
+from ..crashes.messages import CrashNote
 from ..discovery.messages import TableNotice
 from ..discovery.readers import rank_of
 from ..health.messages import InstanceOutcome, Outcomes
@@ -31,6 +32,10 @@
 MAX_REMEMBERED_IDS: Final = 8_000
 """Number of latest outcomes whose repetitions are recognized, those of some seconds
 while many instances fail."""
+GOSSIP_FANOUT: Final = 2
+
+Row = InstanceOutcome | CrashNote
+"""What VMs tell each other in ``Outcomes``; ``id`` identifies each row."""
 
 
 class Broadcasts:
@@ -53,7 +58,7 @@
         self._random = random
         self._received_ids = _RecentIds()
         self._forwarded_ids = _RecentIds()
-        self._gathered: list[InstanceOutcome] = []
+        self._gathered: list[Row] = []
         self._hubs: tuple[str, ...] = ()
         self._hubs_expire_at: Millis = 0.0
 
@@ -68,9 +73,9 @@
         addresses.pop(self._members.me.address, None)
         self._peers.send_to_all(list(addresses), notice)
 
-    def send_outcomes(self, rows: tuple[InstanceOutcome, ...]) -> None:
-        """Send outcomes that this VM has seen to all VMs of the region."""
-        identified = tuple(
+    def send_outcomes(self, rows: Sequence[Row]) -> None:
+        """Send outcomes or notes of this VM to all VMs of the region."""
+        identified: tuple[Row, ...] = tuple(
             row._replace(id=self._random.getrandbits(64)) for row in rows
         )
         for row in identified:
@@ -78,19 +83,25 @@
         hubs = self._find_hubs()
         me = self._members.me.address
         others = [address for address in hubs if address != me]
-        self._peers.send_to_all(others, Outcomes(identified, is_for_zone=True))
+        self._peers.send_to_all(others, _pack(identified, is_for_zone=True))
         if me in hubs:
             self._gather(identified)
 
-    def accept_outcomes(self, outcomes: Outcomes) -> tuple[InstanceOutcome, ...]:
+    def send_notes_to_some(self, notes: tuple[CrashNote, ...]) -> None:
+        """Send notes to a few random live VMs."""
+        now = self._loop.clock.now()
+        addresses = self._members.gossip_targets(GOSSIP_FANOUT, now)
+        self._peers.send_to_all(addresses, _pack(notes))
+
+    def accept_outcomes(self, outcomes: Outcomes) -> Outcomes:
         """Return the rows that are received for the first time; forward if asked."""
-        rows = outcomes.instance_outcomes
+        rows: tuple[Row, ...] = outcomes.instance_outcomes + outcomes.crash_notes
         if outcomes.is_for_zone:
             # Also rows that came from the other hub: its copies may be lost.
             self._gather(rows)
-        return tuple(row for row in rows if self._received_ids.add(row.id))
+        return _pack([row for row in rows if self._received_ids.add(row.id)])
 
-    def _gather(self, rows: Iterable[InstanceOutcome]) -> None:
+    def _gather(self, rows: Iterable[Row]) -> None:
         new_rows = [row for row in rows if self._forwarded_ids.add(row.id)]
         if new_rows and not self._gathered:
             self._loop.after(GATHERING_MS, self._forward_gathered)
@@ -98,8 +109,7 @@
 
     def _forward_gathered(self) -> None:
         gathered, self._gathered = self._gathered, []
-        message = Outcomes(tuple(gathered))
-        self._peers.send_to_all(_addresses(self._own_zone()), message)
+        self._peers.send_to_all(_addresses(self._own_zone()), _pack(gathered))
 
     def _own_zone(self) -> list[Member]:
         """Return the recipients in this VM's zone, or in one that is not known yet."""
@@ -145,5 +155,17 @@
         return True
 
 
+def _pack(rows: Iterable[Row], is_for_zone: bool = False) -> Outcomes:
+    outcomes: list[InstanceOutcome] = []
+    notes: list[CrashNote] = []
+    for row in rows:
+        match row:
+            case InstanceOutcome():
+                outcomes.append(row)
+            case CrashNote():
+                notes.append(row)
+    return Outcomes(tuple(outcomes), is_for_zone, tuple(notes))
+
+
 def _addresses(members: Iterable[Member]) -> list[str]:
     return [member.address for member in members]
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -28,16 +28,17 @@
 from ..placing.component import Placement, PlacementSettings
 from ..requests.component import RequestsComponent
 from ..requests.context import RequestContext
-from ..requests.interface import RequestSettings
 from ..requests.startup import StartupQueue
 from ..requests.summary import RequestSummary
 from ..routing.hosts import HostRouteTable
 from ..spreading.messages import GossipMessage
 from .adapter import Adapter
 from .broadcasts import Broadcasts
+from .crash_protection import CrashProtection
 from .metrics import Gauges, NodeMetrics
 from .pauses import PauseGuard
 from .reload import ReadSettings, SettingsReloader
+from .request_settings import make_request_settings
 from .settings import NodeSettings
 from .status import StatusInterface
 from .tables import FleetAccess, TableListeners, Tables
@@ -61,8 +62,6 @@
 readiness checks, one second apart, plus their timeout."""
 STOP_MARGIN_MS: Final = 700.0
 """Part of the grace period that is left for process exit, also on a slow machine."""
-MAX_BUFFERED_RESPONSE_BYTES: Final = 1 << 20
-"""Larger responses are streamed and can't be retried when they are truncated."""
 YOUNG_COLLECTION_THRESHOLD: Final = 10_000
 """Net allocations after which the youngest generation is garbage-collected."""
 MAX_RETRY_AFTER_MS: Final = 600.0
@@ -118,6 +117,14 @@
             random,
             self._broadcasts.send_outcomes,
         )
+        self.crashes = CrashProtection(
+            loop,
+            adapter,
+            self.table,
+            self._broadcasts,
+            self.placement.is_leaving,
+            random,
+        )
         self.routes = HostRouteTable(int(settings.budget.ratio * 100.0), random)
         self._register = VmRegister(
             loop, adapter.store, adapter.tables.vms, settings.name, self.table, random
@@ -130,11 +137,14 @@
             TableListeners(
                 self._on_instances,
                 self._release_startup_queue_if_ready,
-                self._register.on_restored,
+                self._on_restored,
             ),
             random,
             settings.is_first_start,
         )
+        self.tables.add_peer_table(
+            adapter.tables.blocked_requests, self.crashes.table.update_since
+        )
         self._heartbeats = Heartbeats(
             loop,
             self.table,
@@ -149,17 +159,7 @@
             self.routes,
             self.placement,
             random,
-            settings=RequestSettings(
-                names=adapter.headers,
-                buffer_limit_bytes=MAX_BUFFERED_RESPONSE_BYTES,
-                is_half_close_disconnect=True,
-                shed_retry_timeout=0.0,
-                is_shed_counted_as_attempt=True,
-                is_503_only_for_not_run=True,
-                is_deadline_extended_by_uploads=False,
-                is_request_id_echoed=True,
-                certifying_statuses=None,
-            ),
+            settings=make_request_settings(adapter.headers),
             budgets=self._make_budgets(settings.is_first_start),
             limits=lambda: self.routes.limits,
             retry_after=self._retry_after,
@@ -168,6 +168,7 @@
                 loop, on_first_request=self.tables.end_startup_delay
             ),
             on_request_finished=self._on_request_finished,
+            crash_guard=self.crashes.guard,
         )
         self.requests = RequestsComponent(self.context, settings.callers).register(self)
         self.drain = DrainComponent(
@@ -195,10 +196,11 @@
             signal.SIGHUP, lambda number, frame: loop.call_soon(self._reload.check)
         )
         self._register.begin(settings.is_first_start)
+        self.crashes.begin(settings.is_first_start)
         PauseGuard(
             loop,
             self.context,
-            self.tables.followers,
+            (*self.tables.refreshes, self.crashes.table.load),
             lambda: self.context.is_stopping,
         )
         self.tables.begin()
@@ -227,6 +229,7 @@
             "configuration": self.tables.dump_configuration(),
             "instances": self.tables.dump_instances()
             | {"by_service": self.placement.dump()},
+            "crashing_requests": self.crashes.guard.dump(),
             "members": sorted(m.address for m in self.table.live(now)),
             "peers": self.peers.dump(),
         }
@@ -239,8 +242,9 @@
     def on_outcomes(self, sender: Member, outcomes: Outcomes) -> None:
         """Handle outcomes of attempts that another VM observed."""
         self.table.merge(sender, self.loop.clock.now())
-        new_rows = self._broadcasts.accept_outcomes(outcomes)
-        self.placement.on_outcomes(sender.address, new_rows)
+        new = self._broadcasts.accept_outcomes(outcomes)
+        self.placement.on_outcomes(sender.address, new.instance_outcomes)
+        self.crashes.guard.on_notes(sender.address, new.crash_notes)
 
     def on_gossip(self, sender: Member, message: GossipMessage) -> None:
         """Do nothing: on this node the store orders the configuration changes."""
@@ -279,8 +283,14 @@
 
     def _on_instances(self, instances: tuple[Instance, ...]) -> None:
         self.placement.replace_instances(instances)
+        self.crashes.on_instances(instances)
         self._release_startup_queue_if_ready()
 
+    def _on_restored(self) -> None:
+        self._register.on_restored()
+        if self._is_designated_reader():
+            self.crashes.table.on_restored()
+
     def _release_startup_queue_if_ready(self) -> None:
         startup_queue = self.context.startup_queue
         if (
@@ -348,6 +358,8 @@
             requests_in_flight=lambda: self.requests.in_flight,
             datagrams_sent=lambda: self.peers.dump()["datagrams_sent"],
             instances_limited=lambda: self.placement.limited_count,
+            requests_blocked=lambda: self.crashes.guard.blocked_count,
+            requests_suspected=lambda: self.crashes.guard.suspect_count,
         )
         settings = self._settings
         return NodeMetrics(settings.name, settings.zone, self.context.counters, gauges)
--- a/src/galenaferry/node/metrics.py
+++ b/src/galenaferry/node/metrics.py
@@ -38,6 +38,8 @@
     requests_in_flight: Callable[[], float]
     datagrams_sent: Callable[[], float]
     instances_limited: Callable[[], float]
+    requests_blocked: Callable[[], float]
+    requests_suspected: Callable[[], float]
 
 
 class NodeMetrics:
--- a/src/galenaferry/node/pauses.py
+++ b/src/galenaferry/node/pauses.py
@@ -9,7 +9,6 @@
 from typing import Final
 
 from ..clock import Millis
-from ..discovery.follower import TableFollower
 from ..logs import logger
 from ..network.loop import Loop
 from ..requests.context import RequestContext
@@ -29,7 +28,8 @@
     ----------
     loop : Loop
     context : RequestContext
-    followers : tuple of TableFollower
+    refreshes : tuple of callable
+        Read the tables again.
     is_stopping : callable
         Whether the VM takes no more requests.
     """
@@ -38,12 +38,12 @@
         self,
         loop: Loop,
         context: RequestContext,
-        followers: tuple[TableFollower, ...],
+        refreshes: tuple[Callable[[], None], ...],
         is_stopping: Callable[[], bool],
     ) -> None:
         self._loop = loop
         self._context = context
-        self._followers = followers
+        self._refreshes = refreshes
         self._is_stopping = is_stopping
         loop.on_paused = self._on_paused
 
@@ -54,5 +54,5 @@
             if previous is not None:
                 previous.release()
             self._context.startup_queue = StartupQueue(self._loop, HOLD_MS)
-        for follower in self._followers:
-            follower.refresh()
+        for refresh in self._refreshes:
+            refresh()
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -10,6 +10,7 @@
     StoreVersion,
     TableNotice,
     TableRow,
+    TableUpdate,
     decode_version,
 )
 from ..discovery.peer_updates import fetch_from_peer, respond_to_peer
@@ -128,7 +129,9 @@
             lambda: routes.version,
             self._on_configuration_rows,
         )
-        self._update_since_by_table = {
+        self._update_since_by_table: dict[
+            str, Callable[[StoreVersion], TableUpdate]
+        ] = {
             adapter.tables.configuration: self.configuration.update_since,
             adapter.tables.instances: self.instances.update_since,
             IN_FORCE_TABLE: self._configuration_updater.update_in_force,
@@ -144,6 +147,17 @@
         """Whether this VM's reads from the store fail."""
         return any(follower.is_store_unavailable for follower in self.followers)
 
+    @property
+    def refreshes(self) -> tuple[Callable[[], None], ...]:
+        """Functions that read the tables again."""
+        return tuple(follower.refresh for follower in self.followers)
+
+    def add_peer_table(
+        self, name: str, update_since: Callable[[StoreVersion], TableUpdate]
+    ) -> None:
+        """Let other VMs fetch another table from this one."""
+        self._update_since_by_table[name] = update_since
+
     def begin(self) -> None:
         """Start to follow the tables."""
         for follower in self.followers:
--- a/src/galenaferry/node/tests/test_broadcasts.py
+++ b/src/galenaferry/node/tests/test_broadcasts.py
@@ -41,7 +41,7 @@
         if isinstance(message, TableNotice):
             self.notices += 1
             return
-        new_rows = self.broadcasts.accept_outcomes(message)
+        new_rows = self.broadcasts.accept_outcomes(message).instance_outcomes
         self.applied_at += [self._fleet.clock.now()] * len(new_rows)
 
 
--- a/src/galenaferry/node/tests/test_pauses.py
+++ b/src/galenaferry/node/tests/test_pauses.py
@@ -21,7 +21,7 @@
         self.guard = PauseGuard(
             self.loop,
             self.context,
-            (self.bench.follower,),
+            (self.bench.follower.refresh,),
             lambda: self.is_stopping,
         )
         self.sent_while = []
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -10,6 +10,7 @@
 import capnp
 from result import Err, Ok, Result
 
+from ..crashes.messages import CrashNote, NoteKind
 from ..discovery.messages import (
     StoreVersion,
     TableNotice,
@@ -38,6 +39,7 @@
 """Longest age in milliseconds that is sent, the largest ``UInt32``; longer ages are
 sent as this one."""
 MAX_CHECKED_ADDRESSES: Final = 8_192
+NOTE_KINDS: Final = frozenset(int(kind) for kind in NoteKind)
 LIMIT_OUTCOMES: Final = (Outcome.LIMITED, Outcome.UNLIMITED)
 COUNT_MASK: Final = 0xFFFF_FFFF
 """Totals are sent modulo 2**32."""
@@ -183,6 +185,34 @@
         limit_rows[index].perSecond = row.limit_per_second
         limit_rows[index].isEnded = row.outcome is Outcome.UNLIMITED
         limit_rows[index].id = row.id
+    notes = outcomes.crash_notes
+    _fill_crash_notes(target.init("crashNotes", len(notes)), notes)
+
+
+def _fill_crash_notes(target: Any, notes: tuple[CrashNote, ...]) -> None:
+    for index, note in enumerate(notes):
+        target[index].kind = int(note.kind)
+        target[index].fingerprint = note.fingerprint
+        target[index].instance = note.instance
+        target[index].version = note.version
+        target[index].ageMs = min(int(note.age), MAX_AGE_MS)
+        target[index].id = note.id
+
+
+def _read_crash_notes(rows: Any) -> tuple[CrashNote, ...]:
+    # Kinds of later versions are skipped.
+    return tuple(
+        CrashNote(
+            NoteKind(row.kind),
+            bytes(row.fingerprint),
+            row.instance,
+            row.version,
+            float(row.ageMs),
+            row.id,
+        )
+        for row in rows
+        if row.kind in NOTE_KINDS
+    )
 
 
 def _read_outcomes(rows: Any) -> tuple[InstanceOutcome, ...]:
@@ -313,7 +343,8 @@
         case "outcomeSet":
             source = body.outcomeSet
             rows = _read_outcomes(source.outcomes) + _read_limits(source.limits)
-            return Outcomes(rows, source.isForZone)
+            notes = _read_crash_notes(source.crashNotes)
+            return Outcomes(rows, source.isForZone, notes)
     raise ValueError("unknown message")
 
 
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -75,10 +75,20 @@
   id @3 :UInt64;
 }
 
+struct CrashNote {
+  kind @0 :UInt8;
+  fingerprint @1 :Data;
+  instance @2 :UInt64;
+  version @3 :Text;
+  ageMs @4 :UInt32;
+  id @5 :UInt64;
+}
+
 struct OutcomeSet {
   isForZone @0 :Bool;
   outcomes @1 :List(Outcome);
   limits @2 :List(RequestLimit);
+  crashNotes @3 :List(CrashNote);
 }
 
 struct TableRow {
--- a/src/galenaferry/peers/tests/test_codec.py
+++ b/src/galenaferry/peers/tests/test_codec.py
@@ -3,6 +3,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from galenaferry.crashes.messages import CrashNote, NoteKind
 from galenaferry.discovery.messages import StoreVersion, TableNotice, TableRow
 from galenaferry.health.messages import (
     Counts,
@@ -42,6 +43,7 @@
             InstanceOutcome(5, Outcome.UNLIMITED, 8),
         )
     ),
+    Outcomes((), True, (CrashNote(NoteKind.BLOCKED, b"f" * 16, 7, "v1", 5.0, 9),)),
     TableNotice(
         StoreVersion(1, 2**43), StoreVersion(2, 3), (TableRow("i-1", None),), 5.0
     ),
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -245,6 +245,10 @@
                 InstanceOutcome(instance_key(instance.name), Outcome.LEAVING)
             )
 
+    def is_leaving(self, name: str) -> bool:
+        """Whether an instance has announced that it leaves."""
+        return self._announcements.is_leaving(name)
+
     def pause(self, instance: Instance, interval: Millis) -> None:
         """Send no requests to an instance that asked for a pause."""
         now = self._loop.clock.now()
--- a/src/galenaferry/platform/__main__.py
+++ b/src/galenaferry/platform/__main__.py
@@ -15,6 +15,7 @@
 from ..node.component import Node, run
 from ..node.settings import NodeSettings
 from .documents import (
+    BLOCKED_REQUESTS_TABLE,
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
     INSTANCES_TABLE,
@@ -76,7 +77,11 @@
     return Adapter(
         store=StoreClient(loop, settings.store),
         tables=TableNames(
-            CONFIGURATION_TABLE, CONFIGURATION_KEY, INSTANCES_TABLE, VMS_TABLE
+            CONFIGURATION_TABLE,
+            CONFIGURATION_KEY,
+            INSTANCES_TABLE,
+            VMS_TABLE,
+            BLOCKED_REQUESTS_TABLE,
         ),
         headers=HEADER_NAMES,
         decode_configuration=decode_configuration,
--- a/src/galenaferry/platform/documents.py
+++ b/src/galenaferry/platform/documents.py
@@ -15,6 +15,7 @@
 CONFIGURATION_KEY: Final = "config"
 INSTANCES_TABLE: Final = "servers"
 VMS_TABLE: Final = "vms"
+BLOCKED_REQUESTS_TABLE: Final = "blocked"
 
 IDEMPOTENT_KINDS: Final = frozenset(("idempotent", "download"))
 ROUTE_KINDS: Final = IDEMPOTENT_KINDS | {"non_idempotent"}
@@ -54,8 +55,6 @@
         info, status = data["info"], data["status"]
         address = _get_string(data, "address")
         parse_address(address)
-        # Not used, but a row without it was not written by an instance.
-        _get_string(info, "version")
         state = _get_string(status, "state")
         if state not in INSTANCE_STATES:
             raise ValueError(f"unknown state {state!r}")
@@ -70,6 +69,7 @@
             # The remaining time of its cold start, not the total time.
             cold_until=now + _get_number(status, "coldRemainingMs"),
             sequence=_get_integer(status, "sequence"),
+            version=_get_string(info, "version"),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return Err(f"{type(error).__name__}: {error}")
--- a/src/galenaferry/platform/store.py
+++ b/src/galenaferry/platform/store.py
@@ -90,9 +90,25 @@
         self, table: str, key: str, value: bytes, done: Callable[[str], None]
     ) -> None:
         """Write a row unconditionally; ``done`` gets the error, empty on success."""
+        self._write({"table": table, "part": "", "key": key}, value, [], done)
+
+    def insert(
+        self, table: str, key: str, value: bytes, done: Callable[[str], None]
+    ) -> None:
+        """Write a row unless there is one; ``done`` gets the error as for ``put``."""
         row = {"table": table, "part": "", "key": key}
+        # Version 0 stands for a row that does not exist.
+        self._write(row, value, [row | {"ver": 0}], done)
+
+    def _write(
+        self,
+        row: dict[str, Any],
+        value: bytes,
+        expected: list[dict[str, Any]],
+        done: Callable[[str], None],
+    ) -> None:
         text = base64.b64encode(value).decode()
-        body = {"expected": [], "put": [row | {"value": text}], "remove": []}
+        body = {"expected": expected, "put": [row | {"value": text}], "remove": []}
         request = FetchRequest(
             self._address,
             "POST",
--- a/src/galenaferry/platform/tests/test_documents.py
+++ b/src/galenaferry/platform/tests/test_documents.py
@@ -10,7 +10,7 @@
 
 def test_an_entry_decodes_to_an_instance():
     assert decode_instance("i-1", entry_json(), 1000.0).unwrap() == Instance(
-        "10.128.0.9:8080", "s", "a", False, "i-1", 1787221204054, 6, 1250.0, 4
+        "10.128.0.9:8080", "s", "a", False, "i-1", 1787221204054, 6, 1250.0, 4, "v1"
     )
 
 
--- a/src/galenaferry/requests/body.py
+++ b/src/galenaferry/requests/body.py
@@ -57,6 +57,11 @@
         self._sent_parts = len(self._parts)
         return parts
 
+    @property
+    def is_digest_final(self) -> bool:
+        """Whether further parts of the body don't change the digest."""
+        return self.is_complete or self.size >= REPLAY_LIMIT_BYTES
+
     def digest(self) -> bytes:
         """Return the digest of the first ``REPLAY_LIMIT_BYTES`` that have arrived."""
         return self._digest or body_digest(b"".join(self._parts)[:REPLAY_LIMIT_BYTES])
--- a/src/galenaferry/requests/context.py
+++ b/src/galenaferry/requests/context.py
@@ -10,6 +10,7 @@
 from ..backends.directory import Backends
 from ..claims.component import ClaimsComponent
 from ..clock import Millis
+from ..crashes.guard import CrashGuard
 from ..framing.limits import CallerLimits
 from ..framing.messages import RequestHead
 from ..network.loop import Loop
@@ -106,7 +107,8 @@
     service is retried, and ``limits`` the current limits on callers.
     ``startup_queue`` holds requests that arrive before the VM knows its routes, and
     ``overdue_policy`` decides about attempts whose response takes unusually long;
-    both are optional.
+    both are optional. ``crash_guard`` keeps requests that crash instances from more of
+    them, if there is one.
     """
 
     loop: Loop
@@ -123,6 +125,7 @@
     wait_queue_by_service: dict[str, WaitQueue] = field(default_factory=dict)
     overdue_policy: OverduePolicy | None = None
     startup_queue: StartupQueue | None = None
+    crash_guard: CrashGuard | None = None
     on_request_finished: Callable[[RequestSummary], None] = _ignore_summary
     detached: set[Any] = field(default_factory=set)
     is_stopping: bool = False
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -21,12 +21,10 @@
 )
 from ..backends.choice import Busy, Chosen, NoInstance
 from ..backends.messages import CapacityShare, Instance, SelectionCriteria
-from ..claims.component import ClaimsComponent
 from ..claims.handle import ClaimHandle
-from ..claims.messages import ClaimOutcome, Granted, KeyedRequest, Replayed
+from ..claims.messages import Replayed
 from ..clock import Millis
 from ..configuration.policy import WAIT
-from ..crashes.fingerprint import head_digest
 from ..framing.heads import encode_request
 from ..framing.messages import Header, RequestHead, ResponseHead
 from ..routing.table import NoConfiguration, NoRoute, Route
@@ -36,9 +34,11 @@
 from .attempt import Attempt
 from .attempt_recording import SentAttempt, record_attempt_outcome
 from .body import RequestBody
+from .claiming import claim_key
 from .context import RequestContext
 from .deadline import Deadline, request_timeout
-from .idempotency import make_keyed_request, refusal_for
+from .gating import open_gate, tell_gate
+from .idempotency import make_keyed_request
 from .interface import find_response_error, is_certified_not_run
 from .local_answers import LocalAnswer, make_refusal, make_replay
 from .messages import IDEMPOTENCY_KEY_HEADER, RAN_HEADER
@@ -82,8 +82,8 @@
         self._sink = sink
         self._answer = AnswerWriter(sink, context.settings.buffer_limit_bytes)
         self.head = head
-        self._caller = caller
         self.body = RequestBody()
+        self._gate = open_gate(context, sink, caller, head, self.body)
         self.is_over = False
         self._route: Route | None = None
         self._attempt: Attempt | None = None
@@ -158,7 +158,11 @@
         if key is None or route.is_idempotent or context.claims is None:
             self._start_attempt()
         else:
-            self._request_claim(context.claims, route, key)
+            request = make_keyed_request(self.head, route, key, context.random)
+            may_wait = route.policy.claims_outage == WAIT
+            claim_key(
+                context.claims, request, self._deadline.expires_at, may_wait, self
+            )
 
     def on_body(self, data: bytes) -> None:
         """Handle a part of the request body from the caller."""
@@ -168,6 +172,7 @@
         if self._route and self.body.size > self._route.policy.max_body_bytes:
             self.refuse(413, "the body is too large")
             return
+        self._gate.on_body()
         if self._attempt is not None:
             self._attempt.send_body()
         if self.body.unsent_bytes > UNSENT_LIMIT_BYTES:
@@ -176,6 +181,7 @@
     def on_body_complete(self) -> None:
         """Handle the end of the request body."""
         self.body.is_complete = True
+        self._gate.on_body()
         if self._attempt is not None:
             self._attempt.send_body()
 
@@ -212,6 +218,10 @@
 
         An answer that has started can't be replaced: the connection is closed.
         """
+        service = self._route.service if self._route is not None else ""
+        self._refuse(status, reason, self._context.retry_after(service))
+
+    def _refuse(self, status: int, reason: str, retry_after: Millis | None) -> None:
         self._abandon_attempt()
         if self._answer.is_started:
             self._summary.set_outcome(0, reason, self._ran)
@@ -224,8 +234,6 @@
             status = 502
         self._context.counters.count_unanswered(ran)
         self._summary.set_outcome(status, reason, ran)
-        service = self._route.service if self._route is not None else ""
-        retry_after = self._context.retry_after(service)
         self._answer_locally(
             make_refusal(status, reason, ran, self._id_header, retry_after)
         )
@@ -315,39 +323,20 @@
         else:
             self.refuse(evaluation.status, f"attempt ended: {type(outcome).__name__}")
 
-    def _request_claim(self, claims: ClaimsComponent, route: Route, key: bytes) -> None:
-        """Claim the idempotency key before the request is sent anywhere."""
-        assert self._deadline is not None
-        request = make_keyed_request(self.head, route, key, self._context.random)
-        claims.claim(
-            request,
-            self._deadline.expires_at,
-            route.policy.claims_outage == WAIT,
-            lambda outcome: self._on_claim_outcome(claims, request, outcome),
-        )
+    def on_claim_granted(self, claim: ClaimHandle) -> None:
+        """Send the request (called by the claim)."""
+        self._claim = claim
+        self._start_attempt()
 
-    def _on_claim_outcome(
-        self, claims: ClaimsComponent, request: KeyedRequest, outcome: ClaimOutcome
-    ) -> None:
-        if isinstance(outcome, Granted):
-            self._claim = ClaimHandle(claims, request, outcome.revision)
-            if self.is_over:
-                self._claim.settle_unanswered(Execution.NOT_RUN)
-            else:
-                self._start_attempt()
-            return
-        if self.is_over:
-            return
-        if isinstance(outcome, Replayed):
-            self._summary.set_outcome(
-                outcome.record.status, "replayed", Execution.ANSWERED
-            )
-            self._answer_locally(make_replay(outcome.record, self._request_id))
-            return
-        refusal = refusal_for(outcome)
-        assert refusal is not None
-        self._ran = refusal.ran
-        self.refuse(refusal.status, refusal.reason)
+    def on_claim_replayed(self, outcome: Replayed) -> None:
+        """Answer with a recorded answer (called by the claim)."""
+        self._summary.set_outcome(outcome.record.status, "replayed", Execution.ANSWERED)
+        self._answer_locally(make_replay(outcome.record, self._request_id))
+
+    def on_claim_refused(self, status: int, reason: str, ran: Execution) -> None:
+        """Refuse the request (called by the claim)."""
+        self._ran = ran
+        self.refuse(status, reason)
 
     def _answer_locally(self, answer: LocalAnswer) -> None:
         """End the exchange with a complete generated answer."""
@@ -361,6 +350,15 @@
         route = self._route
         assert route is not None
         self._is_waiting = False
+        self._gate.check(
+            route.service,
+            self._choose_instance,
+            lambda refusal: self._refuse(503, refusal.reason, refusal.retry_after),
+        )
+
+    def _choose_instance(self) -> None:
+        route = self._route
+        assert route is not None
         if not self._acquire_permit(route):
             return
         context = self._context
@@ -375,7 +373,7 @@
             route.service,
             route.name,
             route.policy,
-            self._tried_addresses,
+            self._tried_addresses | self._gate.excluded_addresses,
             route.is_idempotent,
         )
         match directory.choose(criteria, self._share, may_borrow):
@@ -519,9 +517,8 @@
         took = self._context.loop.clock.now() - started_at
         self._summary.add_attempt(instance, outcome, took)
         if isinstance(outcome, LOST_WHILE_RUNNING):
-            self._summary.fingerprint = (
-                head_digest(self._caller, self.head) + self.body.digest()
-            )
+            self._summary.fingerprint = self._gate.fingerprint
+        tell_gate(self._gate, instance, outcome)
         if is_timeout(outcome) and took < route.target_latency:
             # The instance had less time than the target latency of the route, so that
             # the timeout is no evidence against it.
@@ -567,11 +564,14 @@
             self._ran = merge_execution(
                 self._ran, evaluate_outcome(CallerLeft()).execution
             )
+            if self._instance is not None:
+                self._gate.on_abandoned(self._instance)
         attempt.abandon()
 
     def _close(self) -> None:
         self.is_over = True
         self._is_waiting = False
+        self._gate.close()
         self._context.publish_summary(self._summary)
         # Dropping the references to the attempt and the deadline breaks cycles, so
         # that reference counting frees all of them: a garbage collection would delay
--- a/src/galenaferry/requests/local_answers.py
+++ b/src/galenaferry/requests/local_answers.py
@@ -30,7 +30,7 @@
     reason: str,
     ran: Execution,
     request_id: Header,
-    retry_after: Millis = RETRY_AFTER_MS,
+    retry_after: Millis | None = RETRY_AFTER_MS,
 ) -> LocalAnswer:
     """Return the answer to a request that no backend server has answered.
 
@@ -41,7 +41,7 @@
     ran : Execution
         Whether the request was executed, as far as that is proven.
     request_id : Header
-    retry_after : float
+    retry_after : float or None
         Delay in milliseconds before the caller retries; sent with status 503 only.
     """
     body = f"{reason}\n".encode()
@@ -52,7 +52,7 @@
         (REASON_HEADER, reason.encode()),
         request_id,
     ]
-    if status == 503:
+    if status == 503 and retry_after is not None:
         seconds = b"%.3f" % (retry_after / 1000.0)
         headers.append((RETRY_AFTER_HEADER, seconds.rstrip(b"0").rstrip(b".")))
     return LocalAnswer(ResponseHead(status, b"", tuple(headers), len(body)), body)
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -15,17 +15,19 @@
 from galenaferry.backends.messages import Instance
 from galenaferry.backends.ownership import Vm
 from galenaferry.clock import FakeClock
+from galenaferry.crashes.guard import CrashGuard, GuardLinks
+from galenaferry.crashes.verifiers import is_verifier
 from galenaferry.framing.limits import CallerLimits
 from galenaferry.framing.messages import RequestHead
 from galenaferry.framing.requests import RequestLimits, RequestReader
 from galenaferry.network.listener import Listener
 from galenaferry.network.loop import Loop
 from galenaferry.network.stream import Stream
+from galenaferry.node.request_settings import make_request_settings
 from galenaferry.placing.component import Placement, PlacementSettings
 from galenaferry.platform.headers import HEADER_NAMES
 from galenaferry.requests.component import RequestsComponent
 from galenaferry.requests.context import RequestContext
-from galenaferry.requests.interface import RequestSettings
 from galenaferry.routing.hosts import (
     HostRoute,
     HostRouteTable,
@@ -44,17 +46,6 @@
 """Time after which the row of an instance that crashed is removed."""
 DEADLINE_MS = 6_000
 RETRY_BUDGET = BudgetBounds(ratio=0.2, slack=62.0, window=10_000.0)
-REQUEST_SETTINGS = RequestSettings(
-    names=HEADER_NAMES,
-    buffer_limit_bytes=1 << 20,
-    is_half_close_disconnect=True,
-    shed_retry_timeout=0.0,
-    is_shed_counted_as_attempt=True,
-    is_503_only_for_not_run=True,
-    is_deadline_extended_by_uploads=False,
-    is_request_id_echoed=True,
-    certifying_statuses=None,
-)
 
 
 def make_document(version=1, max_attempts=9):
@@ -105,7 +96,7 @@
             False,
             f"i-{number}",
             1,
-            **({"version": version} if "version" in Instance._fields else {}),
+            version=version,
         )
         self.version = version
 
@@ -270,6 +261,27 @@
             Random(fleet.random.random()),
             lambda outcomes: fleet.broadcast(self, outcomes),
         )
+        self.guard = CrashGuard(
+            fleet.loop,
+            Random(number),
+            GuardLinks(
+                send_notes=lambda notes: fleet.tell(
+                    self, lambda vm: vm.guard.on_notes(self.vm.address, notes)
+                ),
+                send_to_some=lambda notes: fleet.tell(
+                    self,
+                    lambda vm: vm.guard.on_notes(self.vm.address, notes),
+                    fleet.random.sample(fleet.vms, 2),
+                ),
+                is_leaving=self.placement.is_leaving,
+                is_verifier=self._is_verifier,
+                save_blocked=fleet.blocked.__setitem__,
+                claim_trial=fleet.claim_trial,
+            ),
+        )
+        self.guard.load_blocked(
+            {key: versions for key, versions in fleet.blocked.items() if versions}
+        )
         routes = HostRouteTable(20, Random(number))
         routes.replace_if_newer(fleet.document)
         self.context = RequestContext(
@@ -278,13 +290,14 @@
             routes,
             self.placement,
             Random(number),
-            settings=REQUEST_SETTINGS,
+            settings=make_request_settings(HEADER_NAMES),
             budgets=FleetBudgets(
                 RETRY_BUDGET, fleet.clock, lambda: len(fleet.vms), True
             ),
             limits=lambda: routes.limits,
             retry_after=lambda service: 300.0,
             overdue_policy=self.placement,
+            crash_guard=self.guard,
         )
         self.component = RequestsComponent(self.context, (HOST, 0))
 
@@ -293,6 +306,12 @@
 
     def replace_instances(self, instances):
         self.placement.replace_instances(instances)
+        self.guard.on_instances(instances)
+
+    def _is_verifier(self, key):
+        return is_verifier(
+            self.vm.address, [vm.vm.address for vm in self.fleet.vms], key
+        )
 
     def set_live_vms(self, vms):
         self.placement.set_live_vms(self.vm, vms)
@@ -316,6 +335,8 @@
         self.crashes = []
         self.arrivals = []
         self.outcomes = Counter()
+        self.blocked = {}
+        self.claimed_trials = set()
         self.request_count = 0
         self.instance_parts = instance_parts
         self.servers = []
@@ -374,12 +395,19 @@
         self.loop.after(LIST_DELAY_MS, show)
 
     def broadcast(self, sender, outcomes):
-        for vm in self.vms:
+        self.tell(sender, lambda vm: vm.on_outcomes(sender.vm.address, outcomes))
+
+    def tell(self, sender, deliver, vms=None):
+        """Call ``deliver`` with each other VM, unless its message is lost."""
+        for vm in vms or self.vms:
             if vm is not sender and self.random.random() >= self.loss:
-                self.loop.after(
-                    MESSAGE_DELAY_MS,
-                    lambda vm=vm: vm.on_outcomes(sender.vm.address, outcomes),
-                )
+                self.loop.after(MESSAGE_DELAY_MS, lambda vm=vm: deliver(vm))
+
+    def claim_trial(self, fingerprint, version, done):
+        """Grant the first claim, as the store does."""
+        is_granted = (fingerprint, version) not in self.claimed_trials
+        self.claimed_trials.add((fingerprint, version))
+        self.loop.after(10.0, lambda: done(is_granted))
 
     def get(self, target, caller=1, vm=None):
         vm = vm or self.random.choice(self.vms)
