Tell versions that serve a blocked request from those that it crashes

Change: a blocked request keeps the versions that it crashes and those that answer it, and goes to the latter only; a lost connection ends a trial; each later break is checked anew; a block that is older than its end is no news. The detector of crashes and the sending of news have modules of their own.

--- a/src/galenaferry/crashes/blocked_table.py
+++ b/src/galenaferry/crashes/blocked_table.py
@@ -25,6 +25,7 @@
 )
 from ..logs import logger
 from ..network.loop import Loop
+from .messages import Blocked
 from .store import BlockedStore
 
 RETRY_DELAY_MS: Final[Millis] = 1_000.0
@@ -55,7 +56,7 @@
     fetch_from_peer : callable
         Used while the store does not respond.
     on_loaded : callable
-        Gets the blocked requests and the versions that they crash.
+        Gets the blocked requests by fingerprint.
     blocked : callable
         Returns the requests that this VM blocks now.
     """
@@ -67,8 +68,8 @@
         name: str,
         random: Random,
         fetch_from_peer: FetchFromPeer,
-        on_loaded: Callable[[dict[bytes, frozenset[str]]], None],
-        blocked: Callable[[], dict[bytes, frozenset[str]]],
+        on_loaded: Callable[[dict[bytes, Blocked]], None],
+        blocked: Callable[[], dict[bytes, Blocked]],
     ) -> None:
         self._loop = loop
         self._store = store
@@ -77,21 +78,21 @@
         self._fetch_from_peer = fetch_from_peer
         self._on_loaded = on_loaded
         self._blocked = blocked
-        self._unsaved: dict[bytes, frozenset[str] | None] = {}
+        self._unsaved: dict[bytes, Blocked | None] = {}
 
     def load(self) -> None:
         """Read the table, from another VM if the store does not respond."""
         self._store.read_all(self._name, self._on_read)
 
-    def save(self, fingerprint: bytes, versions: frozenset[str] | None) -> None:
+    def save(self, fingerprint: bytes, blocked: Blocked | None) -> None:
         """Write that a request is blocked, or with None that it no longer is."""
-        self._unsaved[fingerprint] = versions
+        self._unsaved[fingerprint] = blocked
         self._write(fingerprint)
 
     def on_restored(self) -> None:
         """Write all rows again: the store's older copy may lack some."""
-        for fingerprint, versions in self._blocked().items():
-            self._unsaved[fingerprint] = versions
+        for fingerprint, blocked in self._blocked().items():
+            self._unsaved[fingerprint] = blocked
             delay = REWRITE_SPREAD_MS * self._random.random()
             self._loop.after(delay, partial(self._write, fingerprint))
 
@@ -115,8 +116,8 @@
     def update_since(self, after: StoreVersion) -> TableUpdate:
         """Return all rows of this VM's blocked requests, for another VM."""
         rows = tuple(
-            TableRow(fingerprint.hex(), _encode(versions))
-            for fingerprint, versions in self._blocked().items()
+            TableRow(fingerprint.hex(), _encode(blocked))
+            for fingerprint, blocked in self._blocked().items()
         )
         return TableUpdate(NO_VERSION, rows, is_snapshot=True)
 
@@ -134,31 +135,33 @@
             self._apply(result.ok_value.rows)
 
     def _apply(self, rows: Iterable[TableRow]) -> None:
-        versions_by_fingerprint: dict[bytes, frozenset[str]] = {}
+        found: dict[bytes, Blocked] = {}
         for row in rows:
             if row.value is None or CLAIM_SEPARATOR in row.key:
                 continue
             try:
                 data: Any = json.loads(row.value)
                 if data["is_blocked"]:
-                    versions = frozenset(str(version) for version in data["versions"])
-                    versions_by_fingerprint[bytes.fromhex(row.key)] = versions
+                    found[bytes.fromhex(row.key)] = Blocked(
+                        frozenset(str(version) for version in data["crashed"]),
+                        frozenset(str(version) for version in data["serving"]),
+                    )
             except (ValueError, KeyError, TypeError) as error:
                 log.warning(
                     "invalid row of a blocked request", row=row.key, error=repr(error)
                 )
-        if versions_by_fingerprint:
-            log.info("blocked requests read", count=len(versions_by_fingerprint))
-            self._on_loaded(versions_by_fingerprint)
+        if found:
+            log.info("blocked requests read", count=len(found))
+            self._on_loaded(found)
 
     def _write(self, fingerprint: bytes) -> None:
         if fingerprint not in self._unsaved:
             return
-        versions = self._unsaved[fingerprint]
+        blocked = self._unsaved[fingerprint]
 
         def finish(error: str) -> None:
             if not error:
-                if self._unsaved.get(fingerprint, versions) == versions:
+                if self._unsaved.get(fingerprint, blocked) == blocked:
                     self._unsaved.pop(fingerprint, None)
                 return
             log.warning(
@@ -168,11 +171,14 @@
             )
             self._loop.after(RETRY_DELAY_MS, lambda: self._write(fingerprint))
 
-        self._store.put(self._name, fingerprint.hex(), _encode(versions), finish)
+        self._store.put(self._name, fingerprint.hex(), _encode(blocked), finish)
 
 
-def _encode(versions: frozenset[str] | None) -> bytes:
-    is_blocked = versions is not None
-    return json.dumps(
-        {"is_blocked": is_blocked, "versions": sorted(versions or ())}
-    ).encode()
+def _encode(blocked: Blocked | None) -> bytes:
+    known = blocked or Blocked()
+    row = {
+        "is_blocked": blocked is not None,
+        "crashed": sorted(known.crashed_versions),
+        "serving": sorted(known.serving_versions),
+    }
+    return json.dumps(row).encode()
--- a/src/galenaferry/crashes/gate.py
+++ b/src/galenaferry/crashes/gate.py
@@ -113,7 +113,7 @@
             proceed()
             return
         lost, self._lost_instance = self._lost_instance, None
-        if lost is not None and guard.when_checked(lost, check_again):
+        if lost is not None and guard.detector.when_checked(lost, check_again):
             return
         if guard.is_idle or not guard.has_head(self._digest_head()):
             proceed()
@@ -137,9 +137,9 @@
                 reason = "the request was in flight when two instances crashed"
                 delay = max(0.0, until - self._clock.now())
                 refuse(Refusal(reason, delay))
-            case Blocked(versions):
+            case Blocked() as blocked:
                 self._check_blocked(
-                    guard, fingerprint, versions, service, proceed, refuse
+                    guard, fingerprint, blocked, service, proceed, refuse
                 )
 
     def on_body(self) -> None:
@@ -150,9 +150,10 @@
 
     def on_connection_lost(self, instance: Instance) -> None:
         """Handle that the connection ended while the request may have been running."""
+        self._has_trial = False
         if self._guard is not None and self._body.is_known():
             self._lost_instance = instance
-            self._guard.on_connection_lost(instance, self.fingerprint)
+            self._guard.detector.on_connection_lost(instance, self.fingerprint)
 
     def on_answered(self, instance: Instance) -> None:
         """Handle that an instance answered the request."""
@@ -163,7 +164,7 @@
     def on_abandoned(self, instance: Instance) -> None:
         """Handle that the request was given up on while an instance may run it."""
         if self._guard is not None and self._body.is_known():
-            self._guard.on_abandoned(instance, self.fingerprint)
+            self._guard.detector.on_abandoned(instance, self.fingerprint)
 
     def close(self) -> None:
         """End the checks; another request like this one may be tried."""
@@ -194,17 +195,24 @@
         self,
         guard: CrashGuard,
         fingerprint: bytes,
-        versions: frozenset[str],
+        blocked: Blocked,
         service: str,
         proceed: Callable[[], None],
         refuse: Callable[[Refusal], None],
     ) -> None:
-        """Refuse, or try the request once at instances of a version not yet tried."""
+        """Send the request to versions that serve it, or try one more, or refuse."""
         if self._has_trial:
             proceed()
             return
+        instances = guard.detector.instances_of(service)
+        versions = {instance.version for instance in instances}
+        serving = blocked.serving_versions & versions
+        if serving:
+            self._exclude_others(instances, serving)
+            proceed()
+            return
         refusal = Refusal("the request is blocked; it crashed several instances", None)
-        untried = guard.versions_of(service) - versions
+        untried = versions - blocked.crashed_versions
         if not untried:
             refuse(refusal)
             return
@@ -217,12 +225,20 @@
                 refuse(refusal)
                 return
             self._has_trial = True
-            others = guard.versions_of(service) - {version}
-            self.excluded_addresses = guard.addresses_of(service, others)
+            self._exclude_others(instances, frozenset((version,)))
             proceed()
 
         guard.claim_trial(fingerprint, version, on_claimed)
 
+    def _exclude_others(
+        self, instances: list[Instance], versions: frozenset[str]
+    ) -> None:
+        self.excluded_addresses = frozenset(
+            instance.address
+            for instance in instances
+            if instance.version not in versions
+        )
+
     def _digest_head(self) -> bytes:
         if not self._head_digest:
             self._head_digest = head_digest(self._caller, self._head)
--- a/src/galenaferry/crashes/messages.py
+++ b/src/galenaferry/crashes/messages.py
@@ -12,7 +12,8 @@
 
     ``SUSPECT``: the request was in flight at an instance when that crashed.
     ``ALIVE``: an instance that was taken to have crashed accepts connections.
-    ``CLEARED``: an instance has answered the request, so that it crashes none.
+    ``CLEARED``: an instance of ``version`` has answered the request, so that it crashes
+    none of these; with an empty version an operator has lifted the block.
     ``TRIAL``: the sender lets a suspect request through; others of it should wait.
     ``BLOCKED``: the request was in flight at the crashes of several instances.
     """
@@ -73,9 +74,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Blocked:
-    """The request crashes instances of ``versions``."""
+    """The request crashes instances of some versions and is answered by others."""
 
-    versions: frozenset[str]
+    crashed_versions: frozenset[str] = frozenset()
+    serving_versions: frozenset[str] = frozenset()
 
 
 Decision = Allowed | Held | Paused | Blocked
--- a/src/galenaferry/crashes/suspects.py
+++ b/src/galenaferry/crashes/suspects.py
@@ -46,7 +46,8 @@
 
     def __init__(self) -> None:
         self._suspect_by_fingerprint: dict[bytes, _Suspect] = {}
-        self._versions_by_blocked: dict[bytes, frozenset[str]] = {}
+        self._blocked_by_fingerprint: dict[bytes, Blocked] = {}
+        self._blocked_at_by_fingerprint: dict[bytes, Millis] = {}
         self._cleared_at_by_fingerprint: dict[bytes, Millis] = {}
         self._alive_at_by_instance: dict[int, Millis] = {}
         self._count_by_head: dict[bytes, int] = {}
@@ -55,9 +56,9 @@
         return bool(self._count_by_head)
 
     @property
-    def blocked(self) -> dict[bytes, frozenset[str]]:
-        """The blocked requests, and the versions that they crash."""
-        return self._versions_by_blocked
+    def blocked(self) -> dict[bytes, Blocked]:
+        """The blocked requests by fingerprint."""
+        return self._blocked_by_fingerprint
 
     @property
     def suspect_count(self) -> int:
@@ -74,15 +75,18 @@
 
     def is_blocked(self, fingerprint: bytes) -> bool:
         """Whether a request is blocked."""
-        return fingerprint in self._versions_by_blocked
+        return fingerprint in self._blocked_by_fingerprint
 
     def on_crash(
         self, fingerprint: bytes, instance: int, version: str, at: Millis
     ) -> None:
         """Record that a request was in flight at the crash of an instance."""
-        if self.is_blocked(fingerprint):
-            if version not in self._versions_by_blocked[fingerprint]:
-                self._versions_by_blocked[fingerprint] |= {version}
+        blocked = self._blocked_by_fingerprint.get(fingerprint)
+        if blocked is not None:
+            self._blocked_by_fingerprint[fingerprint] = Blocked(
+                blocked.crashed_versions | {version},
+                blocked.serving_versions - {version},
+            )
             return
         refuted_at = self._alive_at_by_instance.get(instance, -1.0)
         cleared_at = self._cleared_at_by_fingerprint.get(fingerprint, -1.0)
@@ -111,15 +115,32 @@
             ):
                 self._drop_suspect(fingerprint)
 
-    def on_cleared(self, fingerprint: bytes, at: Millis) -> bool:
-        """Handle that an instance answered; return whether the request was known."""
-        was_blocked = self._versions_by_blocked.pop(fingerprint, None) is not None
-        if was_blocked:
-            self._remove_head(fingerprint)
-        was_suspect = self.is_suspect(fingerprint)
-        if was_suspect:
+    def on_answered(self, fingerprint: bytes, version: str, at: Millis) -> bool:
+        """Handle that an instance of a version answered a request.
+
+        A request is cleared by an answer of a version that it seemed to crash. Return
+        whether that, or a version that serves a blocked request, is news.
+        """
+        blocked = self._blocked_by_fingerprint.get(fingerprint)
+        suspect = self._suspect_by_fingerprint.get(fingerprint)
+        if blocked is not None and version not in blocked.crashed_versions:
+            serving = blocked.serving_versions | {version}
+            self._blocked_by_fingerprint[fingerprint] = Blocked(
+                blocked.crashed_versions, serving
+            )
+            return serving != blocked.serving_versions
+        if suspect is not None and version not in suspect.versions:
+            suspect.trial_until = 0.0
+            return False
+        return self.clear(fingerprint, at)
+
+    def clear(self, fingerprint: bytes, at: Millis) -> bool:
+        """Forget a request's crashes until ``at``; return whether it was known."""
+        if self.is_blocked(fingerprint):
+            self._drop_blocked(fingerprint)
+        elif self.is_suspect(fingerprint):
             self._drop_suspect(fingerprint)
-        if not (was_blocked or was_suspect):
+        else:
             return False
         _put_bounded(self._cleared_at_by_fingerprint, fingerprint, at)
         return True
@@ -136,21 +157,31 @@
         if suspect is not None:
             suspect.trial_until = 0.0
 
-    def block(self, fingerprint: bytes, versions: frozenset[str]) -> bool:
-        """Block a request; return whether that is new."""
+    def blocked_at(self, fingerprint: bytes) -> Millis:
+        """Return since when a request is blocked."""
+        return self._blocked_at_by_fingerprint[fingerprint]
+
+    def block(self, fingerprint: bytes, news: Blocked, at: Millis) -> bool:
+        """Block a request since ``at``; return whether that is new."""
+        if at <= self._cleared_at_by_fingerprint.get(fingerprint, -1.0):
+            return False
+        crashed_versions = news.crashed_versions
         suspect = self._suspect_by_fingerprint.get(fingerprint)
         if suspect is not None:
-            versions |= suspect.versions
+            crashed_versions |= suspect.versions
             self._drop_suspect(fingerprint)
-        known = self._versions_by_blocked.get(fingerprint)
-        self._versions_by_blocked[fingerprint] = versions | (known or frozenset())
+        known = self._blocked_by_fingerprint.get(fingerprint)
+        old = known or Blocked()
+        self._blocked_by_fingerprint[fingerprint] = Blocked(
+            old.crashed_versions | crashed_versions,
+            (old.serving_versions | news.serving_versions) - crashed_versions,
+        )
         if known is not None:
             return False
+        self._blocked_at_by_fingerprint[fingerprint] = at
         self._add_head(fingerprint)
-        if len(self._versions_by_blocked) > MAX_BLOCKED:
-            oldest = next(iter(self._versions_by_blocked))
-            del self._versions_by_blocked[oldest]
-            self._remove_head(oldest)
+        if len(self._blocked_by_fingerprint) > MAX_BLOCKED:
+            self._drop_blocked(next(iter(self._blocked_by_fingerprint)))
         return True
 
     def ripe(self, now: Millis) -> list[bytes]:
@@ -168,9 +199,9 @@
 
     def decide(self, fingerprint: bytes, now: Millis) -> Decision:
         """Return whether a request may be sent now."""
-        versions = self._versions_by_blocked.get(fingerprint)
-        if versions is not None:
-            return Blocked(versions)
+        blocked = self._blocked_by_fingerprint.get(fingerprint)
+        if blocked is not None:
+            return blocked
         suspect = self._suspect_by_fingerprint.get(fingerprint)
         if suspect is None:
             return Allowed()
@@ -184,6 +215,11 @@
             return Held(suspect.trial_until)
         return Allowed(is_trial=True)
 
+    def _drop_blocked(self, fingerprint: bytes) -> None:
+        del self._blocked_by_fingerprint[fingerprint]
+        del self._blocked_at_by_fingerprint[fingerprint]
+        self._remove_head(fingerprint)
+
     def _drop_suspect(self, fingerprint: bytes) -> None:
         del self._suspect_by_fingerprint[fingerprint]
         self._remove_head(fingerprint)
--- a/src/galenaferry/node/crash_protection.py
+++ b/src/galenaferry/node/crash_protection.py
@@ -9,6 +9,7 @@
 from ..backends.messages import Instance
 from ..crashes.blocked_table import BlockedTable
 from ..crashes.guard import CrashGuard, GuardLinks
+from ..crashes.news import NewsLinks
 from ..crashes.verifiers import is_verifier
 from ..discovery.messages import NO_VERSION, TableError, TableUpdate
 from ..discovery.peer_updates import fetch_from_peer
@@ -50,15 +51,14 @@
             self._table_name,
             random,
             self._fetch_from_peer,
-            lambda versions: self.guard.load_blocked(versions),
-            lambda: self.guard.blocked(),
+            lambda found: self.guard.load_blocked(found),
+            lambda: self.guard.blocked,
         )
         self.guard = CrashGuard(
             loop,
             random,
             GuardLinks(
-                send_notes=broadcasts.send_outcomes,
-                send_to_some=broadcasts.send_notes_to_some,
+                news=NewsLinks(broadcasts.send_outcomes, broadcasts.send_notes_to_some),
                 is_leaving=is_leaving,
                 is_verifier=self._is_verifier,
                 save_blocked=self.table.save,
@@ -73,7 +73,7 @@
 
     def on_instances(self, instances: tuple[Instance, ...]) -> None:
         """Handle a new list of instances."""
-        self.guard.on_instances(instances)
+        self.guard.detector.on_instances(instances)
 
     def _is_verifier(self, key: int) -> bool:
         live = self._members.live_in_region(self._loop.clock.now())
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -16,6 +16,7 @@
 from galenaferry.backends.ownership import Vm
 from galenaferry.clock import FakeClock
 from galenaferry.crashes.guard import CrashGuard, GuardLinks
+from galenaferry.crashes.news import NewsLinks
 from galenaferry.crashes.verifiers import is_verifier
 from galenaferry.framing.limits import CallerLimits
 from galenaferry.framing.messages import RequestHead
@@ -77,7 +78,10 @@
 
 
 class SimulatedInstance:
-    """Instance with slots and a queue, which some requests crash."""
+    """Instance with slots and a queue, which some requests crash.
+
+    Each VM reaches it at an address of its own, so that the link of one can be cut.
+    """
 
     def __init__(self, fleet, number, version="v1", slots=6, work_ms=60.0):
         self.fleet = fleet
@@ -85,12 +89,13 @@
         self.work_ms = work_ms
         self.busy = 0
         self.is_up = True
-        self.is_mute = False
+        self.status = b"200 OK"
         self.queue = deque()
         self.connections = set()
-        self.listener = Listener(fleet.loop, (HOST, 0), self._accept)
+        self.listener_by_vm = {}
+        self.address_by_vm = {}
         self.instance = Instance(
-            f"{HOST}:{self.listener.port}",
+            f"{HOST}:1",
             "bookings",
             ZONES[number % len(ZONES)],
             False,
@@ -100,12 +105,33 @@
         )
         self.version = version
 
+    def seen_by(self, vm_number):
+        """Return the instance with the address at which a VM reaches it."""
+        if vm_number not in self.listener_by_vm:
+            listener = self.listener_by_vm[vm_number] = Listener(
+                self.fleet.loop, (HOST, 0), lambda sock: self._accept(sock, vm_number)
+            )
+            self.address_by_vm[vm_number] = f"{HOST}:{listener.port}"
+        return self.instance._replace(address=self.address_by_vm[vm_number])
+
+    def refuse(self, vm_number):
+        """Refuse new connections of a VM and reset its open ones."""
+        self.listener_by_vm[vm_number].close()
+        self.reset(vm_number)
+
+    def reset(self, vm_number=None):
+        """Close the open connections of a VM, or of all."""
+        for connection in list(self.connections):
+            if vm_number in (None, connection.vm_number):
+                connection.stream.close()
+                self.connections.discard(connection)
+
     def crash(self):
-        """End: close the listener and all connections at once."""
+        """End: close the listeners and all connections at once."""
         self.is_up = False
-        self.listener.close()
-        for connection in list(self.connections):
-            connection.stream.close()
+        for listener in self.listener_by_vm.values():
+            listener.close()
+        self.reset()
 
     def run(self, connection):
         """Begin to run a request, or queue it."""
@@ -125,21 +151,22 @@
         ):
             self.fleet.on_crash(self, target)
             return
-        connection.respond(b"200 OK", b"done " + target)
+        connection.respond(self.status, b"done " + target)
         while self.queue and self.busy < self.slots:
             waiting = self.queue.popleft()
             if waiting.stream.is_open:
                 self.run(waiting)
 
-    def _accept(self, sock):
-        self.connections.add(InstanceConnection(self, sock))
+    def _accept(self, sock, vm_number):
+        self.connections.add(InstanceConnection(self, sock, vm_number))
 
 
 class InstanceConnection:
     """A connection from a VM to an instance."""
 
-    def __init__(self, server, sock):
+    def __init__(self, server, sock, vm_number):
         self.server = server
+        self.vm_number = vm_number
         self.reader = RequestReader(self, RequestLimits(65_536, 1 << 30))
         self.stream = Stream(server.fleet.loop, sock, self, is_connecting=False)
 
@@ -175,8 +202,7 @@
         server.fleet.arrivals.append(
             Arrival(server.fleet.clock.now(), self.head.target, server.instance.id)
         )
-        if not server.is_mute:
-            server.run(self)
+        server.run(self)
 
     def on_connected(self):
         return
@@ -265,13 +291,11 @@
             fleet.loop,
             Random(number),
             GuardLinks(
-                send_notes=lambda notes: fleet.tell(
-                    self, lambda vm: vm.guard.on_notes(self.vm.address, notes)
-                ),
-                send_to_some=lambda notes: fleet.tell(
-                    self,
-                    lambda vm: vm.guard.on_notes(self.vm.address, notes),
-                    fleet.random.sample(fleet.vms, 2),
+                news=NewsLinks(
+                    lambda notes: fleet.tell(self, self._notes(notes)),
+                    lambda notes: fleet.tell(
+                        self, self._notes(notes), fleet.random.sample(fleet.vms, 2)
+                    ),
                 ),
                 is_leaving=self.placement.is_leaving,
                 is_verifier=self._is_verifier,
@@ -280,7 +304,7 @@
             ),
         )
         self.guard.load_blocked(
-            {key: versions for key, versions in fleet.blocked.items() if versions}
+            {key: blocked for key, blocked in fleet.blocked.items() if blocked}
         )
         routes = HostRouteTable(20, Random(number))
         routes.replace_if_newer(fleet.document)
@@ -301,12 +325,15 @@
         )
         self.component = RequestsComponent(self.context, (HOST, 0))
 
+    def _notes(self, notes):
+        return lambda vm: vm.guard.on_notes(self.vm.address, notes)
+
     def on_outcomes(self, sender, outcomes):
         self.placement.on_outcomes(sender, outcomes)
 
     def replace_instances(self, instances):
         self.placement.replace_instances(instances)
-        self.guard.on_instances(instances)
+        self.guard.detector.on_instances(instances)
 
     def _is_verifier(self, key):
         return is_verifier(
@@ -344,17 +371,23 @@
         self._instance_count = 0
         self.vms = []
         for _ in range(instances):
-            self.listed.append(self.add_instance().instance)
+            self.listed.append(self.add_instance())
         for number in range(vms):
             self.vms.append(FleetVm(self, number))
         self._settle()
 
     def restart(self, number):
-        """Start a VM again, without what it knew."""
-        self.vms[number].component._listener.close()
+        """Start a VM again, without what it knew but for what the store has."""
+        self.vms[number].component.stop_accepting()
         self.vms[number] = FleetVm(self, number)
         self._settle()
 
+    def release(self, version):
+        """Add instances of another version beside the present ones."""
+        for _ in range(3):
+            self.listed.append(self.add_instance(version=version))
+        self.list_instances()
+
     def _settle(self):
         live = tuple(sorted(vm.vm for vm in self.vms))
         for vm in self.vms:
@@ -371,25 +404,27 @@
 
     def list_instances(self):
         for vm in self.vms:
-            vm.replace_instances(tuple(self.listed))
+            vm.replace_instances(
+                tuple(server.seen_by(vm.number) for server in self.listed)
+            )
 
     def on_crash(self, server, target):
         """End an instance; another one starts seconds later at another address."""
         self.crashes.append((self.clock.now(), target, server.instance.id))
         server.crash()
         self.servers.remove(server)
-        self.loop.after(EXPIRY_MS, lambda: self._remove(server.instance))
+        self.loop.after(EXPIRY_MS, lambda: self._remove(server))
         self.loop.after(2_000.0, lambda: self._replace(server.version))
 
-    def _remove(self, instance):
-        self.listed.remove(instance)
+    def _remove(self, server):
+        self.listed.remove(server)
         self.list_instances()
 
     def _replace(self, version):
-        instance = self.add_instance(version=version).instance
+        server = self.add_instance(version=version)
 
         def show():
-            self.listed.append(instance)
+            self.listed.append(server)
             self.list_instances()
 
         self.loop.after(LIST_DELAY_MS, show)
