--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -41,6 +41,10 @@
 REWRITE_MS = 300.0
 """Time after a restore in which the operator and the instances write again."""
 CHECK_MS = 2_500.0
+CRASHING_INTERVAL_MS = 400.0
+"""Interval at which a request that crashes instances comes again."""
+RESTART_MS = 1_500.0
+"""Time after which an instance that crashed is back."""
 STORE_TOLD_LATE_MS = 4_000.0
 STORE_FAULTS = ("refuse", "silent", "lose")
 
@@ -65,6 +69,7 @@
             self.record.timing.on_store_fault(0.0, math.inf)
         self.injected_faults: list[str] = []
         port = find_free_port_block()
+        self._is_settling = False
         self._last_port = port + 10
         self._version = 0
         self.store = Store(self.loop, (HARNESS_IP, port + 6))
@@ -100,6 +105,7 @@
             self.callers.send_request()
             self._run_loop_for(REQUEST_INTERVAL_MS)
         self._end_faults()
+        self._is_settling = True
         self._run_loop_for(SETTLE_MS)
         ends_at = self.loop.clock.now() + MAX_PENDING_WAIT_MS
         while self.callers.pending_count and self.loop.clock.now() < ends_at:
@@ -127,7 +133,7 @@
         instance = self.random.choice(self.instances)
         duration_ms = 500.0 + 2_500.0 * self.random.random()
         self._copies.append(self.store.take_copy())
-        match self.random.randrange(13):
+        match self.random.randrange(14):
             case 0:
                 self._signal_vm(vm, signal.SIGKILL, duration_ms)
             case 1:
@@ -153,6 +159,8 @@
                 self._inject_link_fault(duration_ms)
             case 11 if self._has_store_faults:
                 self._restore_store()
+            case 13:
+                self._start_crashing_requests()
             case 12:
                 self._limit_instance(instance, duration_ms * 3.0)
             # 3 and 11 get here in runs without store faults.
@@ -207,6 +215,33 @@
 
         self.loop.after(duration_ms, end)
 
+    def _start_crashing_requests(self) -> None:
+        """Let a new request that crashes instances come again and again."""
+        prefix = self.random.choice(("/query/", "/book/"))
+        target = f"{prefix}crash-{len(self.record.crashing_targets)}"
+        self.record.crashing_targets.add(target)
+        self.injected_faults.append(f"{target} crashes instances")
+
+        def send() -> None:
+            if not self._is_settling:
+                self.callers.send_crashing_request(target)
+                self.loop.after(CRASHING_INTERVAL_MS, send)
+
+        send()
+
+    def _on_instance_crash(self, instance: Instance) -> None:
+        """Bring the instance back, under the same id, after some time."""
+        proxy = self.proxy_by_name[instance.name]
+        proxy.go_down()
+
+        def restart() -> None:
+            instance.born += 1
+            proxy.come_up()
+            if instance in self.instances:
+                self.store.put("servers", instance.name, instance.row("ready"))
+
+        self.loop.after(RESTART_MS, restart)
+
     def _restore_store(self) -> None:
         """Let the store come back from a copy some seconds old.
 
@@ -301,6 +336,7 @@
             self.record,
             self.random,
         )
+        instance.on_crash = self._on_instance_crash
         self.instances.append(instance)
         self.store.put("servers", name, instance.row("ready"))
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -71,11 +71,19 @@
         method, prefix = ("POST", "/book/") if is_booking else ("GET", "/query/")
         if is_booking:
             self.bookings.add(request)
-        connection.send(
-            f"{method} {prefix}{request} HTTP/1.1\r\nHost: soak.example\r\n"
-            f"Galenaferry-Request-Id: {request}\r\nContent-Length: 0\r\n"
-            "Galenaferry-Request-Deadline-Ms: 3000\r\n\r\n".encode()
-        )
+        _send(connection, method, f"{prefix}{request}", request)
+
+    def send_crashing_request(self, target: str) -> None:
+        """Send a request to a random VM that crashes each instance that runs it."""
+        self._request_count += 1
+        request = f"x{self._request_count}"
+        address = self._random.choice(self._addresses)
+        connection = ClientConnection(self._loop, address, self._on_outcome)
+        self._request_by_connection[connection] = request
+        now = self._loop.clock.now()
+        self._record.timing.on_request_sent(request, address, now)
+        method = "POST" if target.startswith("/book/") else "GET"
+        _send(connection, method, target, request)
 
     def check_executions(self) -> None:
         """Check the executions of all bookings against the responses.
@@ -128,3 +136,11 @@
             add_finding(f"{request} got a success with another body")
         if head.status == 404:
             add_finding(f"{request} was denied")
+
+
+def _send(connection: ClientConnection, method: str, target: str, request: str) -> None:
+    connection.send(
+        f"{method} {target} HTTP/1.1\r\nHost: soak.example\r\n"
+        f"Galenaferry-Request-Id: {request}\r\nContent-Length: 0\r\n"
+        "Galenaferry-Request-Deadline-Ms: 3000\r\n\r\n".encode()
+    )
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -1,11 +1,13 @@
 """Backend server instances of the soak, which record every execution."""
 
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from random import Random
 
 from galenaferry.network.loop import Loop
 
 from .connections import ServerConnection, serve
+from .crash_checks import CrashChecks
 from .timing import TimingChecks
 
 WORK_MS = 30.0
@@ -31,6 +33,8 @@
         self.services_by_request: defaultdict[str, set[str]] = defaultdict(set)
         self.findings: list[str] = []
         self.timing = TimingChecks(self.findings)
+        self.crashing_targets: set[str] = set()
+        self.crashes = CrashChecks(self.timing)
 
 
 class Instance:
@@ -65,6 +69,8 @@
         self.mode = "well"
         self.is_leaving = False
         self.limit: float | None = None
+        self.born = 1
+        self.on_crash: Callable[[Instance], None] = lambda instance: None
         self._sequence = 0
         self._listener = serve(loop, direct_address, self._on_request)
 
@@ -77,7 +83,7 @@
         status = {"state": state, "sequence": self._sequence, "coldRemainingMs": 0}
         return {
             "address": f"{self.address[0]}:{self.address[1]}",
-            "born": 1,
+            "born": self.born,
             "info": {"service": self.service, "version": "v1", "zone": "a", "slots": 6},
             "status": status,
         }
@@ -96,6 +102,12 @@
             connection.respond(421, headers, b"")
             return
         timing = self._record.timing
+        target = head.target.decode()
+        if target in self._record.crashing_targets:
+            now = self._loop.clock.now()
+            self._record.crashes.on_arrival(target, request, now)
+            self._loop.after(WORK_MS, lambda: self._crash(target, request))
+            return
         timing.on_arrival(request, self.name, self._loop.clock.now())
         mode = self.mode if self._random.random() < 0.5 else "well"
         if mode == "sheds":
@@ -112,6 +124,12 @@
         timing.on_execution(request, self.name, self.service, now)
         self._loop.after(WORK_MS, lambda: self._respond(connection, request, mode))
 
+    def _crash(self, target: str, request: str) -> None:
+        """End with all connections, unless another request has ended it already."""
+        now = self._loop.clock.now()
+        if self._record.crashes.on_crash(target, self.name, self.born, now):
+            self.on_crash(self)
+
     def _respond(self, connection: ServerConnection, request: str, mode: str) -> None:
         if connection.is_closed:
             return
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -26,6 +26,7 @@
         self.target = target
         self.fault = ""
         self._pairs: list[_ConnectionPair] = []
+        self._address = address
         self._listener = Listener(loop, address, self._accept)
 
     def start_fault(self, fault: str) -> None:
@@ -42,6 +43,18 @@
         """End the fault; connections that drop bytes keep dropping them."""
         self.fault = ""
 
+    def go_down(self) -> None:
+        """Close all connections and refuse new ones, as when a process crashed."""
+        self._listener.close()
+        for pair in self._pairs:
+            pair.close()
+        self._pairs = []
+
+    def come_up(self) -> None:
+        """Accept connections again."""
+        if not self._listener.is_open:
+            self._listener = Listener(self.loop, self._address, self._accept)
+
     def _accept(self, sock: socket.socket) -> None:
         pair = _ConnectionPair(self, sock)
         self._pairs.append(pair)
--- a/soak/timing.py
+++ b/soak/timing.py
@@ -89,6 +89,10 @@
         """Record that the store holds a configuration with bookings at a service."""
         self._configurations.append((now, service))
 
+    def sent(self, request: str) -> tuple[Address, Millis] | None:
+        """Return the VM that a request was sent to, and when."""
+        return self._sent_by_request.get(request)
+
     def on_request_sent(self, request: str, vm: Address, now: Millis) -> None:
         """Record when a caller sent a request to a VM."""
         self._sent_by_request[request] = vm, now
@@ -129,7 +133,7 @@
             text = (
                 f"{instance} got {count} requests with a limit of {limit:.1f} a second"
             )
-            self._add_finding(vm, now - LIMIT_WINDOW_MS, now, text)
+            self.add_finding(vm, now - LIMIT_WINDOW_MS, now, text)
 
     def on_answer_passed_on(
         self, request: str, names_limit: bool, names_leaving: bool, now: Millis
@@ -162,7 +166,7 @@
         draining_at = self._draining_at_by_instance.get(instance)
         if draining_at is not None and sent_at > draining_at + DRAIN_TIMEOUT_MS:
             text = f"{request} reached {instance}, which leaves"
-            self._add_finding(vm, draining_at, now, text)
+            self.add_finding(vm, draining_at, now, text)
         told_at = self._leaving_told_at.get((vm, instance), math.inf)
         if sent_at > told_at + DRAIN_TIMEOUT_MS:
             # Disturbances of the store don't excuse a VM that was told.
@@ -172,7 +176,7 @@
         allowed = self._allowed_services(sent_at)
         if allowed and service not in allowed:
             text = f"{request} went to {service} by an old configuration"
-            self._add_finding(vm, sent_at - APPLY_MS, now, text)
+            self.add_finding(vm, sent_at - APPLY_MS, now, text)
 
     def on_endless_response(self, request: str) -> None:
         """Record that the response to a request has no end."""
@@ -186,7 +190,7 @@
         stopped_at = self._stopped_at_by_vm.get(vm, math.inf)
         if sent_at < stopped_at + STOP_ACCEPT_MS and stopped_at <= now:
             text = f"{request} was cut by the graceful shutdown of {vm[0]}"
-            self._add_finding(vm, sent_at, now, text)
+            self.add_finding(vm, sent_at, now, text)
 
     def _allowed_services(self, sent_at: Millis) -> set[str]:
         """Return the services that may run a booking sent at a time.
@@ -199,7 +203,7 @@
         newer = [s for at, s in self._configurations if at > sent_at - APPLY_MS]
         return {*old[-1:], *newer} if old else set()
 
-    def _add_finding(
+    def add_finding(
         self, vm: Address, begins_at: Millis, ends_at: Millis, text: str
     ) -> None:
         """Add a finding unless a fault of the store or the VM overlaps its span."""
