--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -36,6 +36,7 @@
 from .broadcasts import Broadcasts
 from .crash_protection import CrashProtection
 from .metrics import Gauges, NodeMetrics
+from .own_members import own_member, seed_members
 from .pauses import PauseGuard
 from .reload import ReadSettings, SettingsReloader
 from .request_settings import make_request_settings
@@ -88,6 +89,8 @@
         Reads the settings file again.
     metrics_port : int
         Additional port of the status interface for operators, 0 for none.
+    admin_token : str
+        Bearer token of operators; empty if they may only read.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         peer_key: bytes,
         read_settings: ReadSettings,
         metrics_port: int = 0,
+        admin_token: str = "",
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -105,8 +109,10 @@
         self.loop = loop.register(self)
         random = Random()
         self._random = random
-        self.table = MemberTable(self._own_member(), random, LIVENESS)
-        self.table.add_unconfirmed(self._seed_members(), loop.clock.now())
+        self.table = MemberTable(
+            own_member(settings, loop.clock.wall_time()), random, LIVENESS
+        )
+        self.table.add_unconfirmed(seed_members(settings), loop.clock.now())
         self.peers = PeersComponent(
             loop, settings.peers, PeerKeys(peer_key), lambda: self.table.me, self
         ).register(self)
@@ -181,7 +187,13 @@
         ).register(self)
         self._has_been_loaded = False
         self._metrics = self._make_metrics()
-        status = StatusInterface(self.is_ready, self.dump, self._metrics.text)
+        status = StatusInterface(
+            self.is_ready,
+            self.dump,
+            self._metrics.text,
+            self.crashes.guard.lift,
+            admin_token,
+        )
         JsonServer(settings.readiness, status.respond).register(self)
         if metrics_port:
             address = (settings.readiness[0], metrics_port)
@@ -263,7 +275,7 @@
         """
         self._settings = settings
         self._adapter.store.set_address(settings.store)
-        self.table.add_unconfirmed(self._seed_members(), self.loop.clock.now())
+        self.table.add_unconfirmed(seed_members(settings), self.loop.clock.now())
         self.context.budgets = self._make_budgets(is_first_start=False)
         self.placement.settings = _placement_settings(settings)
 
@@ -314,19 +326,6 @@
             version, "", Freshness(0), list_revision, sample, self.routes.version
         )
 
-    def _own_member(self) -> Member:
-        settings = self._settings
-        address = f"{settings.peers[0]}:{settings.peers[1]}"
-        incarnation = int(self.loop.clock.wall_time())
-        return Member(address, incarnation, 0, settings.zone, settings.region, False, 0)
-
-    def _seed_members(self) -> tuple[Member, ...]:
-        settings = self._settings
-        return tuple(
-            Member(f"{host}:{port}", 0, 0, "", settings.region, False, 0)
-            for host, port in settings.seeds
-        )
-
     def _fleet_size(self) -> int:
         """Return how many VMs may be retrying requests now."""
         return len(self.table.other_members()) + 1
--- a/src/galenaferry/platform/__main__.py
+++ b/src/galenaferry/platform/__main__.py
@@ -29,6 +29,7 @@
 
 SETTINGS_VARIABLE: Final = "GALENAFERRY_NODE_FILE"
 PEER_KEY_VARIABLE: Final = "GALENAFERRY_PEER_KEY"
+ADMIN_TOKEN_VARIABLE: Final = "GALENAFERRY_ADMIN_TOKEN"
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_CANNOT_SERVE: Final = 1
 
@@ -56,6 +57,7 @@
             peer_key,
             lambda: read_settings(path),
             options.metrics_port,
+            os.environ.get(ADMIN_TOKEN_VARIABLE, ""),
         )
         run(node, settings.name)
     except OSError as error:
