Count the crashes of several variants of a request together

Change: a fingerprint starts with its kind (host, path, body); crashes are counted for the kind too, once two variants took part. One caller alone still can't have another's requests blocked, and an answer to any variant clears the kind.

--- a/src/galenaferry/crashes/gate.py
+++ b/src/galenaferry/crashes/gate.py
@@ -6,7 +6,7 @@
 from ..backends.messages import Instance
 from ..clock import Clock, Millis
 from ..framing.messages import RequestHead
-from .fingerprint import head_digest
+from .fingerprint import path_digest, variant_digest
 from .guard import CrashGuard
 from .messages import Allowed, Blocked, Held, Paused
 
@@ -62,11 +62,11 @@
         "_guard",
         "_has_trial",
         "_head",
-        "_head_digest",
         "_held_since",
         "_is_closed",
         "_lost_instance",
         "_on_body",
+        "_path_digest",
         "excluded_addresses",
     )
 
@@ -83,7 +83,7 @@
         self._caller = caller
         self._head = head
         self._body = body
-        self._head_digest = b""
+        self._path_digest = b""
         self._held_since: Millis | None = None
         self._has_trial = False
         self._is_closed = False
@@ -94,7 +94,8 @@
     @property
     def fingerprint(self) -> bytes:
         """The fingerprint of the request, as far as its body has arrived."""
-        return self._digest_head() + self._body.digest()
+        variant = variant_digest(self._caller, self._head)
+        return self._digest_path() + self._body.digest() + variant
 
     def check(
         self,
@@ -115,7 +116,7 @@
         lost, self._lost_instance = self._lost_instance, None
         if lost is not None and guard.detector.when_checked(lost, check_again):
             return
-        if guard.is_idle or not guard.has_head(self._digest_head()):
+        if guard.is_idle or not guard.has_path(self._digest_path()):
             proceed()
             return
         if not self._body.is_known():
@@ -239,7 +240,7 @@
             if instance.version not in versions
         )
 
-    def _digest_head(self) -> bytes:
-        if not self._head_digest:
-            self._head_digest = head_digest(self._caller, self._head)
-        return self._head_digest
+    def _digest_path(self) -> bytes:
+        if not self._path_digest:
+            self._path_digest = path_digest(self._head)
+        return self._path_digest
--- a/src/galenaferry/crashes/guard.py
+++ b/src/galenaferry/crashes/guard.py
@@ -16,6 +16,7 @@
 from ..logs import logger
 from ..network.loop import Loop
 from .detector import CrashDetector, DetectorLinks
+from .fingerprint import kind_of
 from .messages import Blocked, CrashNote, Decision, NoteKind
 from .news import CrashNews, NewsLinks
 from .suspects import RIPENING_MS, Suspects
@@ -94,12 +95,12 @@
 
     @property
     def blocked(self) -> dict[bytes, Blocked]:
-        """The blocked requests by fingerprint."""
+        """The blocked requests by fingerprint, and the blocked kinds."""
         return self._suspects.blocked
 
-    def has_head(self, head: bytes) -> bool:
-        """Whether requests with the digest of this head are suspected or blocked."""
-        return self._suspects.has_head(head)
+    def has_path(self, digest: bytes) -> bool:
+        """Whether requests with the digest of this path are suspected or blocked."""
+        return self._suspects.has_path(digest)
 
     def decide(self, fingerprint: bytes) -> Decision:
         """Return whether a request may be sent now."""
@@ -111,7 +112,7 @@
         self._clear(fingerprint, instance.version)
 
     def lift(self, fingerprint: bytes) -> bool:
-        """Let a request through again; return whether it was suspected or blocked."""
+        """Let a request and its kind through again; return whether it was known."""
         return self._clear(fingerprint, "")
 
     def start_trial(self, fingerprint: bytes) -> None:
@@ -127,8 +128,8 @@
     def claim_trial(
         self, fingerprint: bytes, version: str, done: Callable[[bool], None]
     ) -> None:
-        """Claim the one trial of a blocked request at instances of a version."""
-        self._links.claim_trial(fingerprint, version, done)
+        """Claim the one trial of a blocked kind at instances of a version."""
+        self._links.claim_trial(kind_of(fingerprint), version, done)
 
     def when_changed(
         self, fingerprint: bytes, until: Millis, callback: Callable[[], None]
@@ -168,10 +169,9 @@
     def _on_note(self, sender: str, note: CrashNote, at: Millis) -> None:
         fingerprint = note.fingerprint
         match note.kind:
-            case NoteKind.SUSPECT if self._suspects.is_blocked(fingerprint):
-                # The sender has missed the news.
+            case NoteKind.SUSPECT if self._suspects.blocked_keys(fingerprint):
                 self._suspects.on_crash(fingerprint, note.instance, note.version, at)
-                self._news.send((self._blocked_note(fingerprint),))
+                self._answer_with_blocks(fingerprint)
             case NoteKind.SUSPECT:
                 if note.age < VERIFIED_MS:
                     self.detector.verify(note.instance)
@@ -182,8 +182,8 @@
                 self.detector.forget_crash(note.instance)
             case NoteKind.CLEARED:
                 self._apply_cleared(note, at, sender)
-            case NoteKind.TRIAL if self._suspects.is_blocked(fingerprint):
-                self._news.send((self._blocked_note(fingerprint),))
+            case NoteKind.TRIAL if self._suspects.blocked_keys(fingerprint):
+                self._answer_with_blocks(fingerprint)
             case NoteKind.TRIAL:
                 self._suspects.on_trial(fingerprint, at)
             case NoteKind.BLOCKED:
@@ -193,6 +193,11 @@
         if note.kind is not NoteKind.TRIAL:
             self._wake(fingerprint)
 
+    def _answer_with_blocks(self, fingerprint: bytes) -> None:
+        """Tell that a request is blocked to a VM that has missed it."""
+        keys = self._suspects.blocked_keys(fingerprint)
+        self._news.send(tuple(self._blocked_note(key) for key in keys))
+
     def _on_alive(self, key: int) -> None:
         self._suspects.on_alive(key, self._loop.clock.now())
         self._news.send((CrashNote(NoteKind.ALIVE, instance=key),), is_repeated=True)
@@ -245,7 +250,7 @@
         if fingerprint not in self._untold:
             return
         self._untold.discard(fingerprint)
-        if self._suspects.is_blocked(fingerprint):
+        if fingerprint in self.blocked:
             self._news.send((self._blocked_note(fingerprint),), is_repeated=True)
             self._links.save_blocked(fingerprint, self.blocked[fingerprint])
 
@@ -259,15 +264,16 @@
         )
 
     def _clear(self, fingerprint: bytes, version: str) -> bool:
-        was_blocked = self._suspects.is_blocked(fingerprint)
+        blocked_keys = self._suspects.blocked_keys(fingerprint)
         note = CrashNote(NoteKind.CLEARED, fingerprint, version=version)
         now = self._loop.clock.now()
         if not self._apply_cleared(note, now, THIS_VM):
             return False
-        if was_blocked:
-            self._links.save_blocked(fingerprint, self.blocked.get(fingerprint))
+        for key in blocked_keys:
+            self._links.save_blocked(key, self.blocked.get(key))
+        if blocked_keys:
             self._news.pass_on(note, now)
-        self._news.send((note,), is_repeated=was_blocked)
+        self._news.send((note,), is_repeated=bool(blocked_keys))
         self._wake(fingerprint)
         return True
 
@@ -282,7 +288,9 @@
                 "request cleared",
                 fingerprint=note.fingerprint.hex(),
                 version=note.version,
-                is_blocked_elsewhere=self._suspects.is_blocked(note.fingerprint),
+                is_blocked_elsewhere=bool(
+                    self._suspects.blocked_keys(note.fingerprint)
+                ),
                 told_by=source,
             )
         return is_news
--- a/src/galenaferry/crashes/tests/test_crashing_fleet.py
+++ b/src/galenaferry/crashes/tests/test_crashing_fleet.py
@@ -39,6 +39,23 @@
     assert excess_retries(fleet, b"/book/poison") <= 0
 
 
+def test_a_crashing_request_of_changing_callers_stops_reaching_instances():
+    fleet = Fleet()
+    fleet.crashing.add(NO_BODY)
+    stream = 400.0, lambda number: fleet.get(POISON.decode(), caller=200 + number)
+    fleet.run(16.0, harmless(fleet), stream)
+    assert excess_retries(fleet) <= 0
+
+
+def test_a_crashing_request_with_changing_queries_stops_reaching_instances():
+    fleet = Fleet()
+    targets = [b"%b?page=%d" % (POISON, number) for number in range(60)]
+    fleet.crashing.update((target, b"") for target in targets)
+    stream = 400.0, lambda number: fleet.get(targets[number].decode(), caller=201)
+    fleet.run(16.0, harmless(fleet), stream)
+    assert sum(excess_retries(fleet, t) + 3 for t in targets) <= ALLOWED_RETRIES
+
+
 def test_lost_messages_do_not_let_a_crashing_request_through():
     fleet = Fleet(loss=0.3)
     fleet.crashing.add(NO_BODY)
