--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -357,6 +357,7 @@
             requests_in_flight=lambda: self.requests.in_flight,
             datagrams_sent=lambda: self.peers.dump()["datagrams_sent"],
             instances_limited=lambda: self.placement.limited_count,
+            instances_unreachable=lambda: self.placement.unreachable_count,
             requests_blocked=lambda: len(self.crashes.guard.blocked),
             requests_suspected=lambda: self.crashes.guard.suspect_count,
         )
--- a/src/galenaferry/node/metrics.py
+++ b/src/galenaferry/node/metrics.py
@@ -38,6 +38,7 @@
     requests_in_flight: Callable[[], float]
     datagrams_sent: Callable[[], float]
     instances_limited: Callable[[], float]
+    instances_unreachable: Callable[[], float]
     requests_blocked: Callable[[], float]
     requests_suspected: Callable[[], float]
 
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -285,6 +285,11 @@
             for instance in self._instance_by_key.values()
         )
 
+    @property
+    def unreachable_count(self) -> int:
+        """Number of listed instances that this VM can't reach."""
+        return self._reachability.unreachable_count
+
     def close_idle(self) -> None:
         """Close connections that were idle too long."""
         for pool in self._pool_by_name.values():
