Show that VMs which reach no instance serve none of their callers (fails)

What callers saw: 240 of 375 and 36 of 182 first tries served at the cut VMs, 300 of 310 and 522 of 551 at the others.

--- a/src/galenaferry/crashes/tests/test_crashing_fleet.py
+++ b/src/galenaferry/crashes/tests/test_crashing_fleet.py
@@ -225,8 +225,7 @@
     fleet = Fleet()
     popular = 10.0, lambda number: fleet.get("/read/popular", caller=7)
     fleet.run(1.0, popular)
-    for server in fleet.servers:
-        server.refuse(0)
+    fleet.cut(0, "reset")
     fleet.run(6.0, popular)
     assert not any(vm.guard.blocked for vm in fleet.vms)
     others = {name: n for (name, status), n in fleet.outcomes.items() if status == 200}
--- /dev/null
+++ b/src/galenaferry/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that reach their instance by way of another VM."""
--- /dev/null
+++ b/src/galenaferry/relay/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the relay package."""
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -23,7 +23,7 @@
 from galenaferry.framing.requests import RequestLimits, RequestReader
 from galenaferry.network.listener import Listener
 from galenaferry.network.loop import Loop
-from galenaferry.network.stream import Stream
+from galenaferry.network.stream import Stream, connect
 from galenaferry.node.request_settings import make_request_settings
 from galenaferry.placing.component import Placement, PlacementSettings
 from galenaferry.platform.headers import HEADER_NAMES
@@ -115,9 +115,23 @@
         return self.instance._replace(address=self.address_by_vm[vm_number])
 
     def refuse(self, vm_number):
-        """Refuse new connections of a VM and reset its open ones."""
+        """Refuse new connections of a VM; open ones go on."""
         self.listener_by_vm[vm_number].close()
-        self.reset(vm_number)
+
+    def mute(self, vm_number):
+        """Neither read nor write on the open connections of a VM any more."""
+        for connection in self.connections:
+            if connection.vm_number == vm_number:
+                connection.is_mute = True
+                connection.stream.pause()
+
+    def accept_again(self, vm_number):
+        """End ``refuse``."""
+        if not self.listener_by_vm[vm_number].is_open:
+            address = HOST, int(self.address_by_vm[vm_number].rpartition(":")[2])
+            self.listener_by_vm[vm_number] = Listener(
+                self.fleet.loop, address, lambda sock: self._accept(sock, vm_number)
+            )
 
     def reset(self, vm_number=None):
         """Close the open connections of a VM, or of all."""
@@ -167,11 +181,12 @@
     def __init__(self, server, sock, vm_number):
         self.server = server
         self.vm_number = vm_number
+        self.is_mute = False
         self.reader = RequestReader(self, RequestLimits(65_536, 1 << 30))
         self.stream = Stream(server.fleet.loop, sock, self, is_connecting=False)
 
     def respond(self, status, body, extra=b""):
-        if not self.stream.is_open:
+        if not self.stream.is_open or self.is_mute:
             return
         request_id = self.head.header(HEADER_NAMES.request_id)
         self.stream.write(
@@ -344,6 +359,30 @@
         self.placement.set_live_vms(self.vm, vms)
 
 
+class HungStream:
+    """Stand-in for a stream whose connection is never established."""
+
+    is_connecting = True
+    is_congested = has_unsent = False
+    bytes_sent = bytes_received = 0
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.is_open = True
+
+    def write(self, data):
+        return
+
+    def pause(self):
+        return
+
+    def resume(self):
+        return
+
+    def close(self):
+        self.is_open = False
+
+
 class Fleet:
     """VMs, instances and callers; ``crashing`` holds targets and bodies.
 
@@ -362,6 +401,7 @@
         self.crashes = []
         self.arrivals = []
         self.outcomes = Counter()
+        self.hung_addresses = set()
         self.blocked = {}
         self.claimed_trials = set()
         self.request_count = 0
@@ -382,6 +422,36 @@
         self.vms[number] = FleetVm(self, number)
         self._settle()
 
+    def cut(self, number, how):
+        """Cut a VM off from all instances.
+
+        ``refuse`` refuses its new connections, ``reset`` ends its open ones as well, and
+        with ``hang`` none of them answers.
+        """
+        for server in self.servers:
+            address = server.seen_by(number).address
+            match how:
+                case "refuse":
+                    server.refuse(number)
+                case "reset":
+                    server.refuse(number)
+                    server.reset(number)
+                case "hang":
+                    server.mute(number)
+                    self.hung_addresses.add(address)
+
+    def heal(self, number):
+        """End a cut; connections that hang go on hanging."""
+        for server in self.servers:
+            self.hung_addresses.discard(server.seen_by(number).address)
+            server.accept_again(number)
+
+    def connect(self, loop, address, owner):
+        """Connect like ``network.stream.connect``, or hang."""
+        if f"{address[0]}:{address[1]}" in self.hung_addresses:
+            return HungStream(owner)
+        return connect(loop, address, owner)
+
     def release(self, version):
         """Add instances of another version beside the present ones."""
         for _ in range(3):
