Reset the connections of instances that crash in the soak

Change: the proxy resets the VM's side, as the users' pages tell responses that are cut off from complete ones. The check stays as it is.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,6 +1,7 @@
 """TCP proxy on the loopback address that injects network faults."""
 
 import socket
+import struct
 
 from galenaferry.network.listener import Listener
 from galenaferry.network.loop import Loop
@@ -47,7 +48,7 @@
         """Close all connections and refuse new ones, as when a process crashed."""
         self._listener.close()
         for pair in self._pairs:
-            pair.close()
+            pair.reset()
         self._pairs = []
 
     def come_up(self) -> None:
@@ -90,6 +91,17 @@
         self._client.close()
         self._target.close()
 
+    def reset(self) -> None:
+        """Close both connections; the client gets a reset, not an orderly end.
+
+        An orderly end would complete a response that has no length.
+        """
+        if self.is_open:
+            option = struct.pack("ii", 1, 0)
+            sock = self._client._sock
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        self.close()
+
     def forward(self, direction: str, other: Stream, data: bytes) -> None:
         """Forward, delay or drop bytes of a direction."""
         if not (
