Pass requests on by way of another VM when a VM reaches no instance

Cause: a VM has one way to an instance, its own connection. Without it there was nothing left but to try instance after instance and refuse, while the VMs beside it serve the same requests, and the balancer and open connections keep its callers there. Class: a local fault (own links) taken for a remote one (the instances), without a way around. Ruled out: false evidence of the cut VMs at the others (those serve all in the tests); slow detection alone (nothing is served in seconds 3 to 9 of a cut either). Change: package relay. A failure to connect, or an overdue answer without any other contact, makes the VM connect to another instance and, if that fails, to up to 16 of all services; if none accepts, it is cut off. Then its requests go to another VM, near zones first, which sends them to an instance as its own: one hop, authenticated with the fleet's key, with the caller's address and the time that is left. A request that failed to connect twice goes that way as well. What a cut VM sees of instances is not told; other VMs don't ask it. After two good checks direct requests return over 2 s. Why it works: the hop is an HTTP request like any other, so that framing, back-pressure, deadlines and the caller's leaving hold over both hops; 'not run' comes only from the second VM's own refusal or a connection without a byte sent; retries and blocked requests are counted where the instance is chosen.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,7 +11,7 @@
 ip = "{ip}"
 zone = "a"
 region = "r"
-internalPortRange = [{peers}, {peers}]
+internalPortRange = [{peers}, {relay}]
 seedNodes = [{seeds}]
 bounds = [
   "drainTimeoutMs=2000", "gracePeriodS=6", "floorShare=0.7",
@@ -43,6 +43,7 @@
                 number=number,
                 ip=self.ip,
                 peers=port + 2,
+                relay=port + 3,
                 seeds=seeds,
                 front=port,
                 ready=port + 1,
--- a/src/galenaferry/attempts/messages.py
+++ b/src/galenaferry/attempts/messages.py
@@ -61,6 +61,24 @@
     """Another instance now has the address; it did not execute the request."""
 
 
+@dataclass(frozen=True, slots=True)
+class RelayRefused:
+    """Another VM, asked to pass the request on, could not send it to an instance."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Relayed:
+    """The final answer came by way of another VM.
+
+    ``is_answered`` is True if an instance answered with a status below 500.
+    """
+
+    status: int
+    is_answered: bool
+
+
 @dataclass(frozen=True, slots=True)
 class BrokenSent:
     """The connection failed after a byte of the request may have been sent.
@@ -127,6 +145,8 @@
     | BrokenUnsent
     | CertifiedNotRun
     | Misdirected
+    | RelayRefused
+    | Relayed
     | BrokenSent
     | TimedOut
     | BadResponse
--- a/src/galenaferry/attempts/outcomes.py
+++ b/src/galenaferry/attempts/outcomes.py
@@ -17,6 +17,8 @@
     Misdirected,
     NotConnected,
     OutcomeEvaluation,
+    Relayed,
+    RelayRefused,
     Retry,
     ServerFault,
     TimedOut,
@@ -54,6 +56,13 @@
             return OutcomeEvaluation(
                 Execution.NOT_RUN, Retry.ALWAYS, 503, Evidence.LINK, True
             )
+        case RelayRefused():
+            return OutcomeEvaluation(
+                Execution.NOT_RUN, Retry.ALWAYS, 503, Evidence.LINK, False
+            )
+        case Relayed(is_answered=is_answered):
+            execution = Execution.ANSWERED if is_answered else Execution.UNKNOWN
+            return OutcomeEvaluation(execution, Retry.NEVER, 0, Evidence.SUCCESS, False)
         case BrokenSent(is_reused=True):
             return OutcomeEvaluation(
                 Execution.UNKNOWN, Retry.IDEMPOTENT, 502, Evidence.CONNECTION, True
--- a/src/galenaferry/backends/directory.py
+++ b/src/galenaferry/backends/directory.py
@@ -211,7 +211,7 @@
         only if the service has had no idempotent request for a minute.
         """
         now = self._loop.clock.now()
-        service, _, policy, tried, is_idempotent = criteria
+        service, _, policy, tried, is_idempotent, _ = criteria
         if is_idempotent:
             self._idempotent_seen_at_by_service[service] = now
         candidates = self._candidates(service, policy, is_idempotent, now)
--- a/src/galenaferry/backends/messages.py
+++ b/src/galenaferry/backends/messages.py
@@ -16,6 +16,7 @@
     ``Policy.slots_per_instance`` instead. ``cold_until`` is the monotonic time in
     milliseconds until which it is slow after its start. ``sequence`` grows with each
     report that the instance makes of itself. ``version`` is that of its software.
+    ``is_relay`` says that it is another VM, which passes requests on to instances.
     """
 
     address: str
@@ -28,10 +29,13 @@
     cold_until: float = 0.0
     sequence: int = 0
     version: str = ""
+    is_relay: bool = False
 
     @property
     def name(self) -> str:
         """Identity of the instance, the key of its connections and health evidence."""
+        if self.is_relay:
+            return f"via {self.address}"
         return f"{self.id}@{self.born}" if self.id else self.address
 
 
@@ -40,7 +44,7 @@
 
     ``route`` is the name of the route; latencies and response sizes are compared
     only within one route. ``tried`` holds the addresses that the request was sent
-    to before.
+    to before. ``may_relay`` says whether it may go by way of another VM.
     """
 
     service: str
@@ -48,6 +52,7 @@
     policy: Policy
     tried: frozenset[str]
     is_idempotent: bool
+    may_relay: bool = False
 
 
 class Load(NamedTuple):
--- a/src/galenaferry/crashes/detector.py
+++ b/src/galenaferry/crashes/detector.py
@@ -13,8 +13,8 @@
 from ..clock import Millis
 from ..health.messages import instance_key
 from ..logs import logger
+from ..network.connect_check import ConnectCheck
 from ..network.loop import Loop
-from .connect_check import ConnectCheck
 
 CHECK_DELAY_MS: Final[Millis] = 20.0
 """A process that ends closes its connections and its listener in any order."""
--- a/src/galenaferry/crashes/gate.py
+++ b/src/galenaferry/crashes/gate.py
@@ -6,6 +6,7 @@
 from ..backends.messages import Instance
 from ..clock import Clock, Millis
 from ..framing.messages import RequestHead
+from ..relay.origin import Origin
 from .fingerprint import path_digest, variant_digest
 from .guard import CrashGuard
 from .messages import Allowed, Blocked, Held, Paused
@@ -44,48 +45,49 @@
     guard : CrashGuard or None
         None lets every request through.
     clock : Clock
-    caller : str
-        IP address of the caller.
+    origin : Origin
     head : RequestHead
     body : CheckedBody
 
     Attributes
     ----------
+    has_trial : bool
+        Whether the request is the one of its kind that is tried now.
     excluded_addresses : frozenset of str
         Instances that the request may not be sent to.
     """
 
     __slots__ = (
         "_body",
-        "_caller",
         "_clock",
         "_guard",
-        "_has_trial",
         "_head",
         "_held_since",
         "_is_closed",
         "_lost_instance",
         "_on_body",
+        "_origin",
         "_path_digest",
         "excluded_addresses",
+        "has_trial",
     )
 
     def __init__(
         self,
         guard: CrashGuard | None,
         clock: Clock,
-        caller: str,
+        origin: Origin,
         head: RequestHead,
         body: CheckedBody,
     ) -> None:
         self._guard = guard
         self._clock = clock
-        self._caller = caller
+        self._origin = origin
         self._head = head
         self._body = body
         self._path_digest = b""
         self._held_since: Millis | None = None
-        self._has_trial = False
+        self.has_trial = False
         self._is_closed = False
         self._lost_instance: Instance | None = None
         self._on_body: Callable[[], None] | None = None
@@ -94,7 +96,7 @@
     @property
     def fingerprint(self) -> bytes:
         """The fingerprint of the request, as far as its body has arrived."""
-        variant = variant_digest(self._caller, self._head)
+        variant = variant_digest(self._origin.caller, self._head)
         return self._digest_path() + self._body.digest() + variant
 
     def check(
@@ -127,10 +129,10 @@
         match guard.decide(fingerprint):
             case Allowed(is_trial):
                 if is_trial:
-                    self._has_trial = True
+                    self.has_trial = True
                     guard.start_trial(fingerprint)
                 proceed()
-            case Held() if self._has_trial:
+            case Held() if self.has_trial or self._origin.is_trial:
                 proceed()
             case Held(until):
                 self._hold(guard, fingerprint, until, check_again, refuse)
@@ -151,14 +153,14 @@
 
     def on_connection_lost(self, instance: Instance) -> None:
         """Handle that the connection ended while the request may have been running."""
-        self._has_trial = False
+        self.has_trial = False
         if self._guard is not None and self._body.is_known():
             self._lost_instance = instance
             self._guard.detector.on_connection_lost(instance, self.fingerprint)
 
     def on_answered(self, instance: Instance) -> None:
         """Handle that an instance answered the request."""
-        self._has_trial = False
+        self.has_trial = False
         if self._guard is not None and not self._guard.is_idle:
             self._guard.on_answered(instance, self.fingerprint)
 
@@ -170,8 +172,8 @@
     def close(self) -> None:
         """End the checks; another request like this one may be tried."""
         self._is_closed = True
-        if self._guard is not None and self._has_trial:
-            self._has_trial = False
+        if self._guard is not None and self.has_trial:
+            self.has_trial = False
             self._guard.end_trial(self.fingerprint)
 
     def _hold(
@@ -202,7 +204,7 @@
         refuse: Callable[[Refusal], None],
     ) -> None:
         """Send the request to versions that serve it, or try one more, or refuse."""
-        if self._has_trial:
+        if self.has_trial:
             proceed()
             return
         instances = guard.detector.instances_of(service)
@@ -225,7 +227,7 @@
             if not is_granted:
                 refuse(refusal)
                 return
-            self._has_trial = True
+            self.has_trial = True
             self._exclude_others(instances, frozenset((version,)))
             proceed()
 
--- a/src/galenaferry/membership/messages.py
+++ b/src/galenaferry/membership/messages.py
@@ -24,6 +24,10 @@
         Version of the configuration in force on the VM.
     is_platform_down : bool
         Whether the VM's latest reads from the platform failed.
+    relay_port : int
+        Port at which the VM takes requests of other VMs, 0 if it takes none.
+    is_cut_off : bool
+        Whether the VM reaches no instance of a backend server.
     """
 
     address: str
@@ -34,6 +38,8 @@
     is_leaving: bool
     version: int
     is_platform_down: bool = False
+    relay_port: int = 0
+    is_cut_off: bool = False
 
 
 class Freshness(NamedTuple):
--- a/src/galenaferry/network/connect_check.py
+++ b/src/galenaferry/network/connect_check.py
@@ -1,12 +1,12 @@
-"""Check whether an instance accepts connections, without sending a request."""
+"""Check whether an address accepts connections, without sending anything."""
 
 from collections.abc import Callable
 from typing import Final
 
 from ..clock import Millis
 from ..ini import parse_address
-from ..network.loop import Loop
-from ..network.stream import connect
+from .loop import Loop
+from .stream import connect
 
 CONNECT_TIMEOUT_MS: Final[Millis] = 300.0
 """The connect timeout of requests (``routing.hosts``)."""
@@ -24,7 +24,7 @@
         loop.after(CONNECT_TIMEOUT_MS, lambda: self._finish(False))
 
     def on_connected(self) -> None:
-        """Handle that the instance accepts (called by the stream)."""
+        """Handle that the peer accepts (called by the stream)."""
         self._finish(True)
 
     def on_data(self, data: bytes) -> None:
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -10,13 +10,12 @@
 from ..attempts.fleet_budget import FleetBudgets
 from ..backends.messages import Instance
 from ..backends.ownership import Vm
-from ..clock import Millis
 from ..discovery.messages import (
     TableNotice,
 )
 from ..discovery.readers import is_reader
 from ..drain.component import DrainComponent
-from ..health.messages import Outcomes, Report, Verdicts
+from ..health.messages import Outcomes
 from ..logs import logger
 from ..membership.heartbeats import Heartbeats, HeartbeatSettings
 from ..membership.messages import Freshness, Heartbeat, Member
@@ -26,23 +25,26 @@
 from ..peers.codec import PeerKeys
 from ..peers.component import PeersComponent
 from ..placing.component import Placement, PlacementSettings
+from ..relay.origin import RelayAuthentication
 from ..requests.component import RequestsComponent
 from ..requests.context import RequestContext
 from ..requests.startup import StartupQueue
 from ..requests.summary import RequestSummary
 from ..routing.hosts import HostRouteTable
-from ..spreading.messages import GossipMessage
 from .adapter import Adapter
 from .broadcasts import Broadcasts
 from .crash_protection import CrashProtection
 from .metrics import Gauges, NodeMetrics
 from .own_members import own_member, seed_members
 from .pauses import PauseGuard
+from .relaying import Relaying
 from .reload import ReadSettings, SettingsReloader
 from .request_settings import make_request_settings
+from .retry_after import RetryAfter
 from .settings import NodeSettings
 from .status import StatusInterface
 from .tables import FleetAccess, TableListeners, Tables
+from .unused_messages import UnusedMessages
 from .vm_register import VmRegister
 
 HEARTBEAT_SETTINGS: Final = HeartbeatSettings(interval=1_000.0, fanout=2)
@@ -65,15 +67,11 @@
 """Part of the grace period that is left for process exit, also on a slow machine."""
 YOUNG_COLLECTION_THRESHOLD: Final = 10_000
 """Net allocations after which the youngest generation is garbage-collected."""
-MAX_RETRY_AFTER_MS: Final = 600.0
-MIN_RETRY_AFTER_MS: Final = 150.0
-"""Bounds of the random delay after which a refused caller may retry."""
-
 log = logger("node")
 request_log = logger("requests")
 
 
-class Node(Component):
+class Node(UnusedMessages, Component):
     """Root component of a VM, which creates and connects all others.
 
     ``entry.EntryNode`` is its counterpart for VMs that use the client in ``store``.
@@ -158,31 +156,41 @@
             self.peers.send,
             self._compose_heartbeat,
         )
-        # The placement is the ``Backends`` and the ``Observer`` of the request path.
-        self.context = RequestContext(
+        self._relaying = Relaying(
             loop,
             self.placement,
+            self.table,
+            random,
+            RelayAuthentication(peer_key, adapter.headers.request_id),
+            self._heartbeats.send_to_some,
+        )
+        backends = self._relaying.backends
+        self.context = RequestContext(
+            loop,
+            backends,
             self.routes,
-            self.placement,
+            backends,
             random,
             settings=make_request_settings(adapter.headers),
             budgets=self._make_budgets(settings.is_first_start),
             limits=lambda: self.routes.limits,
-            retry_after=self._retry_after,
-            overdue_policy=self.placement,
+            retry_after=RetryAfter(self.placement, loop.clock, random).delay,
+            overdue_policy=backends,
             startup_queue=StartupQueue(
                 loop, on_first_request=self.tables.end_startup_delay
             ),
             on_request_finished=self._on_request_finished,
             crash_guard=self.crashes.guard,
+            relay_authentication=self._relaying.authentication,
         )
         self.requests = RequestsComponent(self.context, settings.callers).register(self)
+        self._relaying.listen(self.context, settings.relay, self)
         self.drain = DrainComponent(
             loop,
             BALANCER_DETECTION_MS,
-            lambda: self.requests.unfinished_count,
+            self._count_unfinished,
             self._on_drain_announced,
-            self.requests.stop_accepting,
+            self._stop_accepting,
             settings.grace_period - BALANCER_DETECTION_MS - STOP_MARGIN_MS,
         ).register(self)
         self._has_been_loaded = False
@@ -241,6 +249,7 @@
             "configuration": self.tables.dump_configuration(),
             "instances": self.tables.dump_instances()
             | {"by_service": self.placement.dump()},
+            "cut_off": self._relaying.backends.is_cut_off,
             "crashing_requests": self.crashes.guard.dump(),
             "members": sorted(m.address for m in self.table.live(now)),
             "peers": self.peers.dump(),
@@ -258,15 +267,6 @@
         self.placement.on_outcomes(sender.address, new.instance_outcomes)
         self.crashes.guard.on_notes(sender.address, new.crash_notes)
 
-    def on_gossip(self, sender: Member, message: GossipMessage) -> None:
-        """Do nothing: on this node the store orders the configuration changes."""
-
-    def on_report(self, sender: Member, report: Report) -> None:
-        """Do nothing: on this node every VM evaluates single outcomes itself."""
-
-    def on_verdicts(self, sender: Member, verdicts: Verdicts) -> None:
-        """Do nothing: on this node every VM evaluates single outcomes itself."""
-
     def _apply_settings(self, settings: NodeSettings) -> None:
         """Apply changed settings.
 
@@ -336,17 +336,6 @@
         me = self.table.me
         self.placement.set_live_vms(Vm(me.address, me.zone), vms)
 
-    def _retry_after(self, service: str) -> Millis:
-        """Return the delay after which a refused caller may retry, with jitter.
-
-        If all instances of the service asked for a pause, it ends after the first one.
-        """
-        spread = (MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS) * self._random.random()
-        next_return = self.placement.next_return(service)
-        if next_return is not None:
-            return next_return - self.loop.clock.now() + spread
-        return MIN_RETRY_AFTER_MS + spread
-
     def _make_metrics(self) -> NodeMetrics:
         now = self.loop.clock.now
         gauges = Gauges(
@@ -359,6 +348,8 @@
             instances_limited=lambda: self.placement.limited_count,
             instances_unreachable=lambda: self.placement.unreachable_count,
             requests_blocked=lambda: len(self.crashes.guard.blocked),
+            requests_relayed=lambda: self._relaying.backends.relayed_count,
+            is_cut_off=lambda: float(self._relaying.backends.is_cut_off),
             requests_suspected=lambda: self.crashes.guard.suspect_count,
         )
         settings = self._settings
@@ -376,6 +367,13 @@
             "request", is_minor=summary.is_single_attempt_success, **fields
         )
 
+    def _count_unfinished(self) -> int:
+        return self.requests.unfinished_count + self._relaying.unfinished_count
+
+    def _stop_accepting(self) -> None:
+        self.requests.stop_accepting()
+        self._relaying.stop_accepting()
+
     def _on_drain_announced(self) -> None:
         self.context.is_stopping = True
         self.table.me = self.table.me._replace(is_leaving=True)
--- a/src/galenaferry/node/metrics.py
+++ b/src/galenaferry/node/metrics.py
@@ -39,6 +39,8 @@
     datagrams_sent: Callable[[], float]
     instances_limited: Callable[[], float]
     instances_unreachable: Callable[[], float]
+    is_cut_off: Callable[[], float]
+    requests_relayed: Callable[[], float]
     requests_blocked: Callable[[], float]
     requests_suspected: Callable[[], float]
 
--- a/src/galenaferry/node/own_members.py
+++ b/src/galenaferry/node/own_members.py
@@ -8,7 +8,16 @@
 def own_member(settings: NodeSettings, wall_time: Millis) -> Member:
     """Return the entry of a VM that starts at a Unix time in milliseconds."""
     address = f"{settings.peers[0]}:{settings.peers[1]}"
-    return Member(address, int(wall_time), 0, settings.zone, settings.region, False, 0)
+    return Member(
+        address,
+        int(wall_time),
+        0,
+        settings.zone,
+        settings.region,
+        False,
+        0,
+        relay_port=settings.relay[1] if settings.relay is not None else 0,
+    )
 
 
 def seed_members(settings: NodeSettings) -> tuple[Member, ...]:
--- a/src/galenaferry/node/settings.py
+++ b/src/galenaferry/node/settings.py
@@ -13,6 +13,7 @@
 
     ``callers``, ``readiness`` and ``peers`` are the addresses that it listens on for
     requests, for the load balancer and operators, and for other VMs (TCP and UDP).
+    ``relay`` is the address at which it takes requests of other VMs, None for none.
     ``seeds`` are the addresses of VMs to contact first, and ``store`` is the address
     of the platform's store. ``drain_timeout`` is the time after which a draining
     instance must get no new requests. The intervals of reads and notices are constants
@@ -36,3 +37,4 @@
     floor_share: float
     budget: BudgetBounds
     is_first_start: bool = False
+    relay: Address | None = None
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -114,6 +114,8 @@
     target.isLeaving = member.is_leaving
     target.version = member.version
     target.isPlatformDown = member.is_platform_down
+    target.relayPort = member.relay_port
+    target.isCutOff = member.is_cut_off
 
 
 def _read_member(source: Any) -> Member:
@@ -127,6 +129,8 @@
         is_leaving=source.isLeaving,
         version=source.version,
         is_platform_down=source.isPlatformDown,
+        relay_port=source.relayPort,
+        is_cut_off=source.isCutOff,
     )
 
 
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -10,6 +10,8 @@
   isLeaving @5 :Bool;
   version @6 :UInt64;
   isPlatformDown @7 :Bool;
+  relayPort @8 :UInt16;
+  isCutOff @9 :Bool;
 }
 
 struct Heartbeat {
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -290,6 +290,11 @@
         """Number of listed instances that this VM can't reach."""
         return self._reachability.unreachable_count
 
+    def close_all_idle(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pool_by_name.values():
+            pool.close_all_idle()
+
     def close_idle(self) -> None:
         """Close connections that were idle too long."""
         for pool in self._pool_by_name.values():
--- a/src/galenaferry/platform/settings.py
+++ b/src/galenaferry/platform/settings.py
@@ -64,6 +64,7 @@
     platform = fields.table("platform")
     bounds = _Fields(file, _parse_bounds(fields), "bounds", findings)
     ports = fields.read("internalPortRange", _parse_port_range, (0, 0))
+    ip = fields.read("ip", _parse_string, "127.0.0.1")
     no_seeds: tuple[Address, ...] = ()
     no_address = ("127.0.0.1", 0)
     settings = NodeSettings(
@@ -72,7 +73,7 @@
         region=fields.read("region", _parse_string, ""),
         callers=listen.read("front", _parse_address, no_address),
         readiness=listen.read("ready", _parse_address, no_address),
-        peers=(fields.read("ip", _parse_string, "127.0.0.1"), ports[0]),
+        peers=(ip, ports[0]),
         # The ports of these addresses belong to an interface that no VM of this fleet
         # serves, so only the hosts are used. The peer port is the same on all VMs.
         seeds=tuple(
@@ -88,6 +89,7 @@
             slack=bounds.read("retryBudgetSlack", _parse_number, 0.0),
             window=bounds.read("budgetWindowS", _parse_number, 0.0) * 1000.0,
         ),
+        relay=(ip, ports[0] + 1) if ports[1] > ports[0] else None,
         is_first_start=fields.read_optional("bootstrap", _parse_bool, False),
     )
     return Err(findings) if findings else Ok(settings)
--- /dev/null
+++ b/src/galenaferry/relay/relay_vms.py
@@ -0,0 +1,66 @@
+"""Choice of the VM by way of which a request goes, without network or clock."""
+
+from collections.abc import Iterable, Mapping
+from random import Random
+from typing import Final, NamedTuple
+
+from ..clock import Millis
+
+MAX_IN_FLIGHT: Final = 16
+"""Requests of this VM in flight by way of one other VM."""
+REMOTE_ZONE_COST: Final = 4
+"""Cost of another zone, in requests in flight."""
+EXCLUDED_MS: Final[Millis] = 1_000.0
+"""Time without requests for a VM that refused one, or could not be reached."""
+
+
+class RelayVm(NamedTuple):
+    """A VM that takes requests of others; ``address`` is IP:PORT for them."""
+
+    address: str
+    zone: str
+
+
+class RelayVms:
+    """VMs that lately failed to take a request."""
+
+    def __init__(self) -> None:
+        self._excluded_until_by_address: dict[str, Millis] = {}
+
+    def on_failure(self, address: str, now: Millis) -> None:
+        """Exclude a VM for some time."""
+        self._excluded_until_by_address[address] = now + EXCLUDED_MS
+
+    def choose(
+        self,
+        vms: Iterable[RelayVm],
+        zone: str,
+        in_flight_by_address: Mapping[str, int],
+        random: Random,
+        now: Millis,
+    ) -> RelayVm | None:
+        """Return the VM with the fewest requests of this one, near ones first.
+
+        Parameters
+        ----------
+        vms : iterable of RelayVm
+            VMs that reach instances, as far as they say.
+        zone : str
+            Availability zone of this VM.
+        in_flight_by_address : mapping
+            Requests that this VM has in flight by way of each VM.
+        random : Random
+        now : float
+            Monotonic time in milliseconds.
+        """
+        best: tuple[float, RelayVm] | None = None
+        for vm in vms:
+            in_flight = in_flight_by_address.get(vm.address, 0)
+            is_excluded = self._excluded_until_by_address.get(vm.address, now) > now
+            if is_excluded or in_flight >= MAX_IN_FLIGHT:
+                continue
+            cost = in_flight + random.random()
+            cost += REMOTE_ZONE_COST * (vm.zone != zone)
+            if best is None or cost < best[0]:
+                best = cost, vm
+        return None if best is None else best[1]
--- a/src/galenaferry/relay/tests/test_cut_fleet.py
+++ b/src/galenaferry/relay/tests/test_cut_fleet.py
@@ -3,7 +3,7 @@
 import pytest
 
 from galenaferry.backends import connection
-from galenaferry.crashes import connect_check
+from galenaferry.network import connect_check
 from galenaferry.tests.fleet import Fleet
 
 STABILITY_S = 3.0
--- /dev/null
+++ b/src/galenaferry/requests/attempt_headers.py
@@ -0,0 +1,45 @@
+"""Headers that an attempt adds to those of the caller."""
+
+from ..backends.messages import Instance
+from ..clock import Millis
+from ..framing.messages import Header, RequestHead
+from ..relay.origin import Origin
+from .context import RequestContext
+
+
+def added_headers(
+    context: RequestContext,
+    head: RequestHead,
+    origin: Origin,
+    id_header: Header,
+    instance: Instance,
+    remaining: Millis,
+    attempts: int,
+) -> tuple[Header, ...]:
+    """Return the headers for an attempt at an instance or by way of a relay VM.
+
+    Parameters
+    ----------
+    context : RequestContext
+    head : RequestHead
+        Head of the caller's request.
+    origin : Origin
+    id_header : Header
+    instance : Instance
+    remaining : float
+        Time until the deadline of the request, in milliseconds.
+    attempts : int
+        Number of the attempt, from 1.
+    """
+    names = context.settings.names
+    added = [id_header, (names.time_left, b"%d" % remaining)]
+    if instance.is_relay:
+        assert context.relay_authentication is not None
+        _, request_id = id_header
+        added.append(context.relay_authentication.header(head, request_id, origin))
+        return tuple(added)
+    if names.attempt:
+        added.append((names.attempt, b"%d" % attempts))
+    if names.expected_instance:
+        added.append((names.expected_instance, instance.id.encode()))
+    return tuple(added)
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -11,6 +11,7 @@
 from ..framing.requests import RequestLimits, RequestReader
 from ..framing.responses import BODILESS_STATUSES
 from ..network.stream import Stream
+from ..relay.origin import ReadOrigin, read_caller
 from .context import RequestContext
 from .exchange import Exchange
 
@@ -27,6 +28,8 @@
     sock : socket.socket
     on_closed : callable
         Called with this object after the connection is closed.
+    read_origin : callable
+        Returns where a request comes from.
     """
 
     __slots__ = (
@@ -40,6 +43,7 @@
         "_is_input_ended",
         "_is_reading_body",
         "_on_closed",
+        "_read_origin",
         "_reader",
         "_stream",
         "_unsent_head",
@@ -51,9 +55,11 @@
         context: RequestContext,
         sock: socket.socket,
         on_closed: Callable[["CallerConnection"], None],
+        read_origin: ReadOrigin = read_caller,
     ) -> None:
         self._context = context
         self._on_closed = on_closed
+        self._read_origin = read_origin
         self._exchanges: deque[Exchange] = deque()
         self._is_reading_body = False
         self._is_input_ended = False
@@ -147,7 +153,8 @@
         """Start the next request or queue it (called by the reader)."""
         if self._is_input_ended:
             return
-        exchange = Exchange(self._context, self, head, self._address)
+        origin, head = self._read_origin(head, self._address)
+        exchange = Exchange(self._context, self, head, origin)
         self._exchanges.append(exchange)
         self._is_reading_body = True
         if len(self._exchanges) == 1:
--- a/src/galenaferry/requests/component.py
+++ b/src/galenaferry/requests/component.py
@@ -7,6 +7,7 @@
 
 from ..clock import Millis
 from ..network.listener import Listener
+from ..relay.origin import ReadOrigin, read_caller
 from .caller import CallerConnection
 from .context import RequestContext
 
@@ -25,12 +26,20 @@
     context : RequestContext
     address : tuple of str and int
         Host and port to listen on.
+    read_origin : callable
+        Returns where a request comes from.
     """
 
     channel = "requests"
 
-    def __init__(self, context: RequestContext, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        context: RequestContext,
+        address: tuple[str, int],
+        read_origin: ReadOrigin = read_caller,
+    ) -> None:
         super().__init__()
+        self._read_origin = read_origin
         self.context = context
         self._callers: set[CallerConnection] = set()
         self._listener = Listener(context.loop, address, self._accept)
@@ -85,7 +94,10 @@
             caller.close()
 
     def _accept(self, sock: socket.socket) -> None:
-        self._callers.add(CallerConnection(self.context, sock, self._remove_caller))
+        connection = CallerConnection(
+            self.context, sock, self._remove_caller, self._read_origin
+        )
+        self._callers.add(connection)
 
     def _remove_caller(self, caller: CallerConnection) -> None:
         self._callers.discard(caller)
--- a/src/galenaferry/requests/context.py
+++ b/src/galenaferry/requests/context.py
@@ -14,6 +14,7 @@
 from ..framing.limits import CallerLimits
 from ..framing.messages import RequestHead
 from ..network.loop import Loop
+from ..relay.origin import RelayAuthentication
 from ..routing.table import RouteResult
 from .interface import RequestSettings
 from .local_answers import RETRY_AFTER_MS
@@ -108,7 +109,8 @@
     ``startup_queue`` holds requests that arrive before the VM knows its routes, and
     ``overdue_policy`` decides about attempts whose response takes unusually long;
     both are optional. ``crash_guard`` keeps requests that crash instances from more of
-    them, if there is one.
+    them, if there is one. ``relay_authentication`` is for requests that go by way of
+    other VMs.
     """
 
     loop: Loop
@@ -126,6 +128,7 @@
     overdue_policy: OverduePolicy | None = None
     startup_queue: StartupQueue | None = None
     crash_guard: CrashGuard | None = None
+    relay_authentication: RelayAuthentication | None = None
     on_request_finished: Callable[[RequestSummary], None] = _ignore_summary
     detached: set[Any] = field(default_factory=set)
     is_stopping: bool = False
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -14,7 +14,6 @@
     TimedOut,
 )
 from ..attempts.outcomes import (
-    classify_status,
     evaluate_outcome,
     is_timeout,
     merge_execution,
@@ -27,11 +26,13 @@
 from ..configuration.policy import WAIT
 from ..framing.heads import encode_request
 from ..framing.messages import Header, RequestHead, ResponseHead
+from ..relay.origin import UNKNOWN_ORIGIN, Origin
 from ..routing.table import NoConfiguration, NoRoute, Route
 from .admission import TOKEN_RECHECK_MS, Admission, AttemptPermit
 from .announcements import record_announcements
 from .answer_writer import AnswerWriter
 from .attempt import Attempt
+from .attempt_headers import added_headers
 from .attempt_recording import SentAttempt, record_attempt_outcome
 from .body import RequestBody
 from .claiming import claim_key
@@ -39,12 +40,12 @@
 from .deadline import Deadline, request_timeout
 from .gating import open_gate, tell_gate
 from .idempotency import make_keyed_request
-from .interface import find_response_error, is_certified_not_run
+from .interface import classify_response, find_response_error
 from .local_answers import LocalAnswer, make_refusal, make_replay
 from .messages import IDEMPOTENCY_KEY_HEADER, RAN_HEADER
 from .overdue import OverdueWatch
 from .queueing import join_wait_queue
-from .retries import acquire_retry
+from .retries import acquire_retry, record_request
 from .sinks import DISCARDING_SINK, AnswerSink
 from .summary import LOST_WHILE_RUNNING, RequestSummary
 from .wait_queue import Waiter
@@ -67,8 +68,7 @@
     context : RequestContext
     sink : AnswerSink
     head : RequestHead
-    caller : str
-        IP address of the caller, empty if unknown.
+    origin : Origin
     """
 
     def __init__(
@@ -76,14 +76,15 @@
         context: RequestContext,
         sink: AnswerSink,
         head: RequestHead,
-        caller: str = "",
+        origin: Origin = UNKNOWN_ORIGIN,
     ) -> None:
         self._context = context
         self._sink = sink
         self._answer = AnswerWriter(sink, context.settings.buffer_limit_bytes)
         self.head = head
         self.body = RequestBody()
-        self._gate = open_gate(context, sink, caller, head, self.body)
+        self._origin = origin
+        self._gate = open_gate(context, sink, origin, head, self.body)
         self.is_over = False
         self._route: Route | None = None
         self._attempt: Attempt | None = None
@@ -122,6 +123,9 @@
     def _route_request(self) -> None:
         if self.is_over:
             return
+        if self._origin.error:
+            self.refuse(403, self._origin.error)
+            return
         match self._context.routes.route(self.head):
             case NoConfiguration():
                 self.refuse(503, "no configuration is known yet")
@@ -148,12 +152,8 @@
         self._deadline = Deadline(
             context.loop, timeout, self.body, self._on_deadline, is_extended
         )
-        context.budgets.retry(route.service).record_request(
-            route.policy.retry_budget_percent
-        )
-        context.budgets.shed(route.service).record_request(
-            route.policy.shed_retry_percent
-        )
+        if not self._origin.is_relayed:
+            record_request(context, route)
         key = self.head.header(IDEMPOTENCY_KEY_HEADER)
         if key is None or route.is_idempotent or context.claims is None:
             self._start_attempt()
@@ -251,7 +251,8 @@
     def on_attempt_head(self, head: ResponseHead) -> bool:
         """Forward the head, or discard the response and retry or refuse."""
         settings = self._context.settings
-        outcome = classify_status(head.status, is_certified_not_run(settings, head))
+        is_relay = self._instance is not None and self._instance.is_relay
+        outcome = classify_response(settings, head, is_relay)
         is_reused = self._attempt is not None and self._attempt.is_reused
         error = find_response_error(settings, head, is_reused)
         if error:
@@ -375,6 +376,7 @@
             route.policy,
             self._tried_addresses | self._gate.excluded_addresses,
             route.is_idempotent,
+            not self._origin.is_relayed,
         )
         match directory.choose(criteria, self._share, may_borrow):
             case Chosen(instance, is_borrowed):
@@ -412,8 +414,18 @@
         attempt = Attempt(context.loop, pool, connection, self, route.policy)
         self._attempt = attempt
         self.body.rewind()
+        assert self._deadline is not None
+        headers = added_headers(
+            context,
+            self.head,
+            self._origin._replace(is_trial=self._gate.has_trial),
+            self._id_header,
+            instance,
+            self._deadline.remaining(),
+            len(self._tried_addresses),
+        )
         attempt.start(
-            encode_request(self.head, self._added_headers(instance)),
+            encode_request(self.head, headers),
             self.body,
             self.head.length is None,
             self.head.method == b"HEAD",
@@ -431,7 +443,7 @@
     ) -> None:
         """Watch for a response that takes longer than usual."""
         context = self._context
-        if context.overdue_policy is None or attempt.is_over:
+        if context.overdue_policy is None or attempt.is_over or instance.is_relay:
             return
         if self._overdue_watch is not None:
             self._overdue_watch.cancel()
@@ -455,17 +467,6 @@
         self._record_attempt(outcome, evaluation)
         self._retry()
 
-    def _added_headers(self, instance: Instance) -> tuple[Header, ...]:
-        """Return the headers that the attempt adds to those of the caller."""
-        assert self._deadline is not None
-        names = self._context.settings.names
-        added = [self._id_header, (names.time_left, b"%d" % self._deadline.remaining())]
-        if names.attempt:
-            added.append((names.attempt, b"%d" % len(self._tried_addresses)))
-        if names.expected_instance:
-            added.append((names.expected_instance, instance.id.encode()))
-        return tuple(added)
-
     def _wait(self, route: Route, wake_at: Millis) -> None:
         """Join the wait queue, or refuse the request if that is impossible."""
         assert self._deadline is not None
--- a/src/galenaferry/requests/gating.py
+++ b/src/galenaferry/requests/gating.py
@@ -4,6 +4,7 @@
 from ..backends.messages import Instance
 from ..crashes.gate import CheckedBody, RequestGate
 from ..framing.messages import RequestHead
+from ..relay.origin import Origin
 from .body import RequestBody
 from .context import RequestContext
 from .sinks import AnswerSink
@@ -13,11 +14,11 @@
 def open_gate(
     context: RequestContext,
     sink: AnswerSink,
-    caller: str,
+    origin: Origin,
     head: RequestHead,
     body: RequestBody,
 ) -> RequestGate:
-    """Return the gate of a request from the IP address ``caller``.
+    """Return the gate of a request.
 
     Without a guard in the context the gate lets everything through.
     """
@@ -28,7 +29,7 @@
 
     checked_body = CheckedBody(lambda: body.is_digest_final, body.digest, request_body)
     clock = context.loop.clock
-    return RequestGate(context.crash_guard, clock, caller, head, checked_body)
+    return RequestGate(context.crash_guard, clock, origin, head, checked_body)
 
 
 def tell_gate(gate: RequestGate, instance: Instance, outcome: AttemptOutcome) -> None:
--- a/src/galenaferry/requests/interface.py
+++ b/src/galenaferry/requests/interface.py
@@ -5,7 +5,8 @@
 
 from typing import Final, NamedTuple
 
-from ..attempts.outcomes import MISDIRECTED_STATUS
+from ..attempts.messages import AttemptOutcome, Execution, Relayed, RelayRefused
+from ..attempts.outcomes import MISDIRECTED_STATUS, classify_status
 from ..clock import Millis
 from ..framing.messages import Header, ResponseHead
 from .messages import (
@@ -16,6 +17,9 @@
     TIME_LEFT_HEADER,
 )
 
+RELAY_REFUSAL_STATUS: Final = 503
+"""Status with which a relay VM refuses a request that it sent to no instance."""
+FIRST_FAULT_STATUS: Final = 500
 DEFAULT_CERTIFYING_STATUSES: Final = frozenset((503,))
 """Statuses with which an instance can certify that it did not execute a request."""
 
@@ -97,6 +101,22 @@
     return given is not None and (not value or given == value)
 
 
+def classify_response(
+    settings: RequestSettings, head: ResponseHead, is_relay: bool
+) -> AttemptOutcome:
+    """Return the outcome that a response stands for.
+
+    ``is_relay`` says that it came by way of another VM of the fleet.
+    """
+    if not is_relay:
+        return classify_status(head.status, is_certified_not_run(settings, head))
+    ran = head.header(RAN_HEADER)
+    if head.status == RELAY_REFUSAL_STATUS and ran == Execution.NOT_RUN.value.encode():
+        return RelayRefused(head.status)
+    is_signed = head.header(settings.names.signature) is not None
+    return Relayed(head.status, is_signed and head.status < FIRST_FAULT_STATUS)
+
+
 def find_response_error(
     settings: RequestSettings, head: ResponseHead, is_connection_reused: bool
 ) -> str:
--- a/src/galenaferry/requests/retries.py
+++ b/src/galenaferry/requests/retries.py
@@ -8,6 +8,14 @@
 from .context import RequestContext
 
 
+def record_request(context: RequestContext, route: Route) -> None:
+    """Count a request of a caller, which adds to the budgets for retries."""
+    policy = route.policy
+    budgets = context.budgets
+    budgets.retry(route.service).record_request(policy.retry_budget_percent)
+    budgets.shed(route.service).record_request(policy.shed_retry_percent)
+
+
 def acquire_retry(
     context: RequestContext,
     route: Route,
--- a/src/galenaferry/requests/summary.py
+++ b/src/galenaferry/requests/summary.py
@@ -11,11 +11,12 @@
     Execution,
     Misdirected,
     NotConnected,
+    RelayRefused,
 )
 from ..backends.messages import Instance
 from ..clock import Millis
 
-UNDELIVERED: Final = (NotConnected, BrokenUnsent, Misdirected)
+UNDELIVERED: Final = (NotConnected, BrokenUnsent, Misdirected, RelayRefused)
 """Outcomes of attempts that reached no instance, or another one at the address of an
 instance that has ended."""
 LOST_WHILE_RUNNING: Final = (BrokenSent, BrokenHeld, BrokenResponse)
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -27,6 +27,9 @@
 from galenaferry.node.request_settings import make_request_settings
 from galenaferry.placing.component import Placement, PlacementSettings
 from galenaferry.platform.headers import HEADER_NAMES
+from galenaferry.relay.backends import RelayingBackends
+from galenaferry.relay.origin import RelayAuthentication
+from galenaferry.relay.relay_vms import RelayVm
 from galenaferry.requests.component import RequestsComponent
 from galenaferry.requests.context import RequestContext
 from galenaferry.routing.hosts import (
@@ -45,6 +48,7 @@
 """Time after which the VMs hear of an instance that starts."""
 EXPIRY_MS = 4_500.0
 """Time after which the row of an instance that crashed is removed."""
+HEARTBEAT_DELAY_MS = 1_500.0
 DEADLINE_MS = 6_000
 RETRY_BUDGET = BudgetBounds(ratio=0.2, slack=62.0, window=10_000.0)
 
@@ -321,13 +325,22 @@
         self.guard.load_blocked(
             {key: blocked for key, blocked in fleet.blocked.items() if blocked}
         )
+        self.is_cut_off = False
+        self.authentication = RelayAuthentication(b"key", HEADER_NAMES.request_id)
+        self.backends = RelayingBackends(
+            fleet.loop,
+            self.placement,
+            Random(number),
+            self._relay_vms,
+            self._on_reach_changed,
+        )
         routes = HostRouteTable(20, Random(number))
         routes.replace_if_newer(fleet.document)
         self.context = RequestContext(
             fleet.loop,
-            self.placement,
+            self.backends,
             routes,
-            self.placement,
+            self.backends,
             Random(number),
             settings=make_request_settings(HEADER_NAMES),
             budgets=FleetBudgets(
@@ -335,10 +348,27 @@
             ),
             limits=lambda: routes.limits,
             retry_after=lambda service: 300.0,
-            overdue_policy=self.placement,
+            overdue_policy=self.backends,
             crash_guard=self.guard,
+            relay_authentication=self.authentication,
         )
         self.component = RequestsComponent(self.context, (HOST, 0))
+        self.relay = RequestsComponent(
+            self.context, (HOST, 0), self.authentication.read_origin
+        )
+
+    def _relay_vms(self):
+        return [
+            RelayVm(f"{HOST}:{vm.relay.port}", vm.vm.zone)
+            for vm in self.fleet.vms
+            if vm is not self and not vm.is_cut_off
+        ]
+
+    def _on_reach_changed(self, is_cut_off):
+        """Let the other VMs know after a while, as heartbeats do."""
+        self.fleet.loop.after(
+            HEARTBEAT_DELAY_MS, lambda: setattr(self, "is_cut_off", is_cut_off)
+        )
 
     def _notes(self, notes):
         return lambda vm: vm.guard.on_notes(self.vm.address, notes)
