--- a/src/galenaferry/relay/tests/test_cut_fleet.py
+++ b/src/galenaferry/relay/tests/test_cut_fleet.py
@@ -73,3 +73,103 @@
     fleet = make_fleet(vms=9)
     cut = {number for number in range(9) if number % 3 == 0}
     assert not breaks_promise(run_cut_off(fleet, cut, how), cut)
+
+
+def run_cut(make_fleet, how="hang", cut=(0,), **parts):
+    """Return a fleet in which some VMs know for seconds that they are cut off."""
+    fleet = make_fleet(**parts)
+    fleet.run(2.0, *mixed_load(fleet, []))
+    for number in cut:
+        fleet.cut(number, how)
+    fleet.run(4.0, *mixed_load(fleet, []))
+    return fleet
+
+
+@pytest.mark.parametrize("how", ["reset", "hang"])
+def test_bookings_by_way_of_another_vm_run_once(make_fleet, how):
+    fleet = run_cut(make_fleet, how)
+    requests = [
+        fleet.post(f"/book/once-{number}", b"data", vm=fleet.vms[0])
+        for number in range(20)
+    ]
+    fleet.run(3.0)
+    for request in requests:
+        arrivals = fleet.arrivals_of(request.target.encode())
+        assert (request.status, len(arrivals)) == (200, 1)
+
+
+def test_the_answer_of_the_instance_passes_unchanged(make_fleet):
+    fleet = run_cut(make_fleet)
+    body = b"x" * 300_000
+    direct = fleet.post("/book/large", body, vm=fleet.vms[1], chunks=50_000)
+    relayed = fleet.post("/book/large", body, vm=fleet.vms[0], chunks=50_000)
+    fleet.run(2.0)
+    assert direct.received.partition(b"\r\n\r\n")[2] == b"done /book/large 300000"
+    assert relayed.received.partition(b"\r\n\r\n")[2] == b"done /book/large 300000"
+    assert relayed.header("galenaferry-response-signature") == "s"
+
+
+def test_requests_take_one_hop_and_are_refused_at_once_if_nobody_reaches_instances(
+    make_fleet,
+):
+    fleet = run_cut(make_fleet, cut=range(6))
+    requests = [fleet.get(f"/read/none-{number}") for number in range(12)]
+    fleet.run(5.0)
+    assert {request.status for request in requests} <= {503, 504}
+    arrivals = [a for a in fleet.arrivals if a.target.startswith(b"/read/none")]
+    assert not arrivals
+
+
+def test_what_a_cut_vm_sees_of_instances_is_not_told(make_fleet):
+    fleet = run_cut(make_fleet)
+    for vm in fleet.vms[1:]:
+        rows = vm.placement.dump()["bookings"].values()
+        assert max(row["sick"] for row in rows) < 0.5
+        assert not vm.guard.suspect_count
+
+
+def test_callers_without_the_key_of_the_fleet_are_refused_at_the_relay_port(make_fleet):
+    fleet = make_fleet()
+    fleet.vms[0].component = fleet.vms[0].relay
+    request = fleet.get("/read/x", vm=fleet.vms[0])
+    fleet.run(0.5)
+    assert request.status == 403
+    assert not fleet.arrivals
+
+
+def test_direct_requests_return_after_a_cut(make_fleet):
+    fleet = run_cut(make_fleet)
+    assert fleet.vms[0].backends.is_cut_off
+    fleet.heal(0)
+    fleet.run(5.0, *mixed_load(fleet, []))
+    assert not fleet.vms[0].backends.is_cut_off
+    relayed = fleet.vms[0].backends.relayed_count
+    requests = [fleet.get(f"/read/back-{n}", vm=fleet.vms[0]) for n in range(10)]
+    fleet.run(2.0)
+    assert all(request.status == 200 for request in requests)
+    assert fleet.vms[0].backends.relayed_count == relayed
+
+
+def test_a_hop_that_breaks_in_the_midst_is_not_said_not_to_have_run(make_fleet):
+    fleet = run_cut(make_fleet, work_ms=400.0)
+    requests = [
+        fleet.post(f"/book/broken-{number}", b"data", vm=fleet.vms[0])
+        for number in range(6)
+    ]
+    fleet.run(0.2)
+    for vm in fleet.vms[1:]:
+        for caller in list(vm.relay._callers):
+            caller.close()
+    fleet.run(6.0)
+    for request in requests:
+        arrivals = fleet.arrivals_of(request.target.encode())
+        assert len(arrivals) <= 1
+        assert not (arrivals and request.status == 503)
+
+
+def test_a_request_that_crashes_instances_is_blocked_at_a_cut_vm_too(make_fleet):
+    fleet = run_cut(make_fleet)
+    fleet.crashing.add((b"/read/poison", b""))
+    poison = 400.0, lambda _: fleet.get("/read/poison", caller=9, vm=fleet.vms[0])
+    fleet.run(14.0, poison)
+    assert len(fleet.crashes) == 3
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -169,7 +169,9 @@
         ):
             self.fleet.on_crash(self, target)
             return
-        connection.respond(self.status, b"done " + target)
+        size = len(connection.body)
+        text = b"done %b %d" % (target, size) if size > 100 else b"done " + target
+        connection.respond(self.status, text)
         while self.queue and self.busy < self.slots:
             waiting = self.queue.popleft()
             if waiting.stream.is_open:
