--- a/src/galenaferry/relay/backends.py
+++ b/src/galenaferry/relay/backends.py
@@ -151,8 +151,10 @@
     def close_idle(self) -> None:
         """Close connections that were idle too long."""
         self._placement.close_idle()
-        for pool in self._pool_by_address.values():
+        for address, pool in list(self._pool_by_address.items()):
             pool.close_idle()
+            if not pool.open_count:
+                del self._pool_by_address[address]
 
     def observe(
         self,
@@ -173,7 +175,7 @@
             self._reach.on_contact(now)
         elif evidence in DISCOUNTED_EVIDENCE:
             if evidence is Evidence.LINK:
-                self._unreachable_at_by_address[address] = now
+                self._on_unreachable(address, now)
             if evidence in LINK_EVIDENCE:
                 self._check_if_needed(True, now)
         observation = service, address, route, target, evidence, latency
@@ -203,6 +205,13 @@
         is_unresponsive = self._placement.is_unresponsive(instance, wait_ratio)
         return self.is_cut_off or is_unresponsive
 
+    def _on_unreachable(self, address: str, now: Millis) -> None:
+        self._unreachable_at_by_address.pop(address, None)
+        self._unreachable_at_by_address[address] = now
+        oldest = next(iter(self._unreachable_at_by_address))
+        if self._unreachable_at_by_address[oldest] <= now - FAILURE_MS:
+            del self._unreachable_at_by_address[oldest]
+
     def _must_relay(self, criteria: SelectionCriteria, now: Millis) -> bool:
         share = self._reach.direct_share(now)
         if share < 1.0 and self._random.random() >= share:
