Cut VMs off from all instances in the soak

Change: one or two VMs at a time, for 4 s and more; proxies reset their connections, open and new ones. Whose connection it is follows from the process that owns the client's socket.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,8 @@
 from galenaferry.network.loop import Loop
 
 from .callers import Callers
+from .cuts import Cuts
+from .documents import make_configuration
 from .fleet import Vm
 from .instances import MODES, ExecutionRecord, Instance
 from .ports import HARNESS_IP, find_free_port_block, is_listening
@@ -43,6 +45,8 @@
 CHECK_MS = 2_500.0
 CRASHING_INTERVAL_MS = 400.0
 """Interval at which a request that crashes instances comes again."""
+CUT_MS = 4_000.0
+"""Least time for which VMs are cut off from all instances."""
 RESTART_MS = 1_500.0
 """Time after which an instance that crashed is back."""
 STORE_TOLD_LATE_MS = 4_000.0
@@ -67,9 +71,13 @@
         self.record = ExecutionRecord()
         if not is_timed:
             self.record.timing.on_store_fault(0.0, math.inf)
+        self._is_timed = is_timed
         self.injected_faults: list[str] = []
         port = find_free_port_block()
         self._is_settling = False
+        self.vms: list[Vm] = []
+        self.cuts = Cuts(self.vms)
+        self.record.timing.cuts = self.cuts
         self._last_port = port + 10
         self._version = 0
         self.store = Store(self.loop, (HARNESS_IP, port + 6))
@@ -85,7 +93,7 @@
             self.loop, proxy_address, (HARNESS_IP, port + 6)
         )
         address = f"{HARNESS_IP}:{port + 5}"
-        self.vms = [Vm(number, port, address, folder) for number in range(vms)]
+        self.vms += [Vm(number, port, address, folder) for number in range(vms)]
         self.callers = Callers(
             self.loop, [vm.front_address for vm in self.vms], self.record, seed
         )
@@ -111,6 +119,9 @@
         while self.callers.pending_count and self.loop.clock.now() < ends_at:
             self._run_loop_for(REQUEST_INTERVAL_MS)
         self.callers.check_executions()
+        violation = self.cuts.find_violation()
+        if violation and self._is_timed:
+            self.record.findings.append(violation)
         self._wait_for_vms()
         self._check_tables()
         if self.callers.pending_count:
@@ -133,7 +144,7 @@
         instance = self.random.choice(self.instances)
         duration_ms = 500.0 + 2_500.0 * self.random.random()
         self._copies.append(self.store.take_copy())
-        match self.random.randrange(14):
+        match self.random.randrange(15):
             case 0:
                 self._signal_vm(vm, signal.SIGKILL, duration_ms)
             case 1:
@@ -159,6 +170,8 @@
                 self._inject_link_fault(duration_ms)
             case 11 if self._has_store_faults:
                 self._restore_store()
+            case 14:
+                self._cut_vms(duration_ms + CUT_MS)
             case 13:
                 self._start_crashing_requests()
             case 12:
@@ -215,6 +228,18 @@
 
         self.loop.after(duration_ms, end)
 
+    def _cut_vms(self, duration_ms: float) -> None:
+        """Reset all connections of one or two VMs to instances, also new ones."""
+        if not self.cuts.is_empty:
+            return
+        vms = self.random.sample(self.vms, self.random.randrange(1, 3))
+        numbers = [vm.number for vm in vms]
+        self.injected_faults.append(f"VMs {numbers} reach no instance")
+        self.cuts.start(vms, self.loop.clock.now())
+        for proxy in self.proxy_by_name.values():
+            proxy.reset_cut()
+        self.loop.after(duration_ms, self.cuts.end)
+
     def _start_crashing_requests(self) -> None:
         """Let a new request that crashes instances come again and again."""
         prefix = self.random.choice(("/query/", "/book/"))
@@ -327,7 +352,8 @@
         name = f"i-{self._last_port}"
         address = (HARNESS_IP, self._last_port)
         direct_address = (HARNESS_IP, self._last_port + DIRECT_PORT_OFFSET)
-        self.proxy_by_name[name] = Proxy(self.loop, address, direct_address)
+        proxy = Proxy(self.loop, address, direct_address, self.cuts.is_cut)
+        self.proxy_by_name[name] = proxy
         instance = Instance(
             self.loop,
             name,
@@ -344,23 +370,7 @@
         """Write a configuration that routes bookings to a service."""
         self._version += self.random.randrange(1, 4)
         self.injected_faults.append(f"configuration {self._version} to {service}")
-        rows = [
-            {"prefix": "/book/", "kind": "non_idempotent", "service": service},
-            {"prefix": "/query/", "kind": "idempotent", "service": "one"},
-        ]
-        common = {"host": "soak.example", "timeoutMs": 2000, "targetLatencyMs": 200}
-        common |= {"maxAttempts": 2, "priority": 1}
-        routes = [
-            row | common | {"name": f"r{number}"} for number, row in enumerate(rows)
-        ]
-        services = [
-            {"name": name, "healthCheckPath": "/health", "maxConnections": 300}
-            for name in ("one", "two")
-        ]
-        limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 65536}
-        limits |= {"headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
-        document = {"version": f"{self._version:08x}", "routes": routes}
-        document |= {"services": services, "limits": limits}
+        document = make_configuration(self._version, service)
         self._configuration = document
         self.store.put("op", "config", document)
         self.record.timing.on_configuration_written(service, self.loop.clock.now())
@@ -368,6 +378,7 @@
     def _end_faults(self) -> None:
         """End all faults but killed and stopped VMs, whose starts are scheduled."""
         self.store.fault = ""
+        self.cuts.end()
         for proxy in self.proxy_by_name.values():
             proxy.end_fault()
         for instance in self.instances:
@@ -407,6 +418,7 @@
         soak.stop()
     outcomes = dict(sorted(soak.callers.outcomes.items()))
     print(f"seed {seed}: {len(soak.injected_faults)} faults, answers {outcomes}")
+    print(f"  {soak.record.crashes.count} crashes, {soak.cuts}")
     for finding in soak.record.findings:
         print(f"  FINDING {finding}")
     if soak.record.findings:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -104,6 +104,7 @@
             return
         if reason:
             self.outcomes["closed"] += 1
+            self._count_in_cut(request, 0)
             if connection.is_connected:
                 self._record.timing.on_connection_lost(request, self._loop.clock.now())
             return
@@ -116,6 +117,7 @@
             head.header(b"server-leaving") is not None,
             self._loop.clock.now(),
         )
+        self._count_in_cut(request, head.status)
         self._check_response(request, connection)
         if head.header(b"connection") == b"close":
             return
@@ -124,6 +126,13 @@
                 return
         self._idle_by_address[connection.address].append(connection)
 
+    def _count_in_cut(self, request: str, status: int) -> None:
+        cuts = self._record.timing.cuts
+        if cuts is not None and status == 200:
+            cuts.on_served(request)
+        elif cuts is not None and self._record.timing.is_vm_disturbed(request):
+            cuts.on_excused(request)
+
     def _check_response(self, request: str, connection: ClientConnection) -> None:
         head = connection.head
         assert head is not None
--- /dev/null
+++ b/soak/documents.py
@@ -0,0 +1,22 @@
+"""Documents that the operator of the soak writes."""
+
+from typing import Any
+
+
+def make_configuration(version: int, service: str) -> dict[str, Any]:
+    """Return a configuration that routes bookings to a service."""
+    rows = [
+        {"prefix": "/book/", "kind": "non_idempotent", "service": service},
+        {"prefix": "/query/", "kind": "idempotent", "service": "one"},
+    ]
+    common = {"host": "soak.example", "timeoutMs": 2000, "targetLatencyMs": 200}
+    common |= {"maxAttempts": 2, "priority": 1}
+    routes = [row | common | {"name": f"r{number}"} for number, row in enumerate(rows)]
+    services = [
+        {"name": name, "healthCheckPath": "/health", "maxConnections": 300}
+        for name in ("one", "two")
+    ]
+    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 65536}
+    limits |= {"headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+    document: dict[str, Any] = {"version": f"{version:08x}", "routes": routes}
+    return document | {"services": services, "limits": limits}
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -71,6 +71,13 @@
                 stderr=log,
             )
 
+    @property
+    def pid(self) -> int:
+        """Id of the process, 0 if it does not run."""
+        process = self._process
+        is_running = process is not None and process.poll() is None
+        return process.pid if is_running else 0
+
     @property
     def is_serving(self) -> bool:
         """Whether the process runs and has not been sent SIGTERM."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,11 +2,14 @@
 
 import socket
 import struct
+from collections.abc import Callable
 
 from galenaferry.network.listener import Listener
 from galenaferry.network.loop import Loop
 from galenaferry.network.stream import Stream, connect
 
+Address = tuple[str, int]
+
 FAULTS = ("delay", "reset", "silence", "one_way")
 DELAY_MS = 300.0
 
@@ -17,17 +20,23 @@
     ``delay`` holds all bytes back by ``DELAY_MS``, ``reset`` closes connections,
     ``silence`` drops the bytes of both directions and ``one_way`` those from the
     target. A connection that drops bytes keeps dropping them after the fault, as when
-    a middlebox has lost its connection state; new connections work again.
+    a middlebox has lost its connection state; new connections work again. ``is_cut``
+    says of a client's and the own address whether their connection is reset.
     """
 
     def __init__(
-        self, loop: Loop, address: tuple[str, int], target: tuple[str, int]
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        target: tuple[str, int],
+        is_cut: Callable[[Address, Address], bool] = lambda client, server: False,
     ) -> None:
         self.loop = loop
         self.target = target
         self.fault = ""
         self._pairs: list[_ConnectionPair] = []
         self._address = address
+        self._is_cut = is_cut
         self._listener = Listener(loop, address, self._accept)
 
     def start_fault(self, fault: str) -> None:
@@ -56,9 +65,18 @@
         if not self._listener.is_open:
             self._listener = Listener(self.loop, self._address, self._accept)
 
+    def reset_cut(self) -> None:
+        """Reset the connections of clients that are cut off now."""
+        for pair in self._pairs:
+            if pair.is_open and self._is_cut(pair.client, self._address):
+                pair.reset()
+
     def _accept(self, sock: socket.socket) -> None:
         pair = _ConnectionPair(self, sock)
         self._pairs.append(pair)
+        if self._is_cut(pair.client, self._address):
+            pair.reset()
+            return
         if self.fault == "reset":
             pair.close()
         elif self.fault in ("silence", "one_way"):
@@ -71,6 +89,7 @@
     def __init__(self, proxy: Proxy, sock: socket.socket) -> None:
         self._proxy = proxy
         self.is_open = True
+        self.client: Address = sock.getpeername()
         self._forwards_requests = self._forwards_responses = True
         client_side, target_side = (
             _PairSide(self, "to_target"),
--- a/soak/timing.py
+++ b/soak/timing.py
@@ -12,7 +12,7 @@
 
 from galenaferry.clock import Millis
 
-Address = tuple[str, int]
+from .cuts import Address, Cuts
 
 DRAIN_TIMEOUT_MS = 2_000.0
 """Time after which a draining instance gets no new requests (``drainTimeoutMs`` of the
@@ -65,6 +65,7 @@
 
     def __init__(self, findings: list[str]) -> None:
         self._findings = findings
+        self.cuts: Cuts | None = None
         self._store_fault_spans: list[tuple[Millis, Millis]] = []
         self._draining_at_by_instance: dict[str, Millis] = {}
         self._configurations: list[tuple[Millis, str]] = []
@@ -93,9 +94,18 @@
         """Return the VM that a request was sent to, and when."""
         return self._sent_by_request.get(request)
 
+    def is_vm_disturbed(self, request: str) -> bool:
+        """Whether a fault or a planned stop has hit the VM of a request."""
+        vm, sent_at = self._sent_by_request[request]
+        spans = self._fault_spans_by_vm.get(vm, [])
+        is_hit = any(last >= sent_at for _, last in spans)
+        return is_hit or vm in self._stopped_at_by_vm
+
     def on_request_sent(self, request: str, vm: Address, now: Millis) -> None:
         """Record when a caller sent a request to a VM."""
         self._sent_by_request[request] = vm, now
+        if self.cuts is not None:
+            self.cuts.on_sent(request, vm, now)
 
     def on_vm_stop(self, vm: Address, now: Millis) -> None:
         """Record the start of a VM's graceful shutdown."""
