Retry reads whose hop goes silent

What callers saw: a read by way of a VM that was paused, or whose connections went silent, waited for its whole deadline and ended with 504, while other VMs could take it. Cause: overdue answers of relay VMs were not watched, unlike those of instances. Found by reading; class: a silent connection without a time limit of its own. Evidence: the new test fails before (504 for most of 8 reads) and passes now. Change: the same watch; a relay VM whose answer is overdue gets no further requests for a second, and idempotent requests go to another one, from the retry budget.

--- a/src/galenaferry/relay/backends.py
+++ b/src/galenaferry/relay/backends.py
@@ -19,7 +19,7 @@
 from ..logs import logger
 from ..network.connect_check import ConnectCheck
 from ..network.loop import Loop
-from ..placing.component import Placement
+from ..placing.component import ABANDON_AFTER_FACTOR, Placement
 from .reach import CHECKED_INSTANCES, MIN_CHECK_INTERVAL_MS, OwnReach
 from .relay_vms import RelayVm, RelayVms
 
@@ -202,16 +202,18 @@
 
     def on_overdue(self, instance: Instance) -> None:
         """Handle an overdue response: the instance, or this VM's link, is slow."""
+        now = self._loop.clock.now()
         if instance.is_relay:
+            self._choice.on_failure(instance.address, now)
             return
-        self._check_if_needed(False, self._loop.clock.now())
+        self._check_if_needed(False, now)
         if not self.is_cut_off:
             self._placement.on_overdue(instance)
 
     def is_unresponsive(self, instance: Instance, wait_ratio: float) -> bool:
         """Whether to abandon an overdue attempt (see ``requests.overdue``)."""
         if instance.is_relay:
-            return False
+            return wait_ratio >= ABANDON_AFTER_FACTOR
         is_unresponsive = self._placement.is_unresponsive(instance, wait_ratio)
         return self.is_cut_off or is_unresponsive
 
--- a/src/galenaferry/relay/tests/test_cut_fleet.py
+++ b/src/galenaferry/relay/tests/test_cut_fleet.py
@@ -173,3 +173,13 @@
     poison = 400.0, lambda _: fleet.get("/read/poison", caller=9, vm=fleet.vms[0])
     fleet.run(14.0, poison)
     assert len(fleet.crashes) == 3
+
+
+def test_a_read_by_way_of_a_vm_that_stopped_goes_to_another_one(make_fleet):
+    fleet = run_cut(make_fleet, vms=3)
+    for caller in list(fleet.vms[1].relay._callers):
+        caller._stream.pause()
+    fleet.vms[1].relay._accept = lambda sock: None
+    requests = [fleet.get(f"/read/stop-{n}", vm=fleet.vms[0]) for n in range(8)]
+    fleet.run(6.5)
+    assert [request.status for request in requests] == [200] * 8
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -443,7 +443,7 @@
     ) -> None:
         """Watch for a response that takes longer than usual."""
         context = self._context
-        if context.overdue_policy is None or attempt.is_over or instance.is_relay:
+        if context.overdue_policy is None or attempt.is_over:
             return
         if self._overdue_watch is not None:
             self._overdue_watch.cancel()
