--- a/soak/tests/test_cuts.py
+++ b/soak/tests/test_cuts.py
@@ -49,5 +49,5 @@
         with socket.create_connection(address) as client:
             inode = _find_inode(client.getsockname(), address)
             assert inode and _owns(os.getpid(), inode)
-            assert not _owns(os.getpid(), inode + 1)
+            assert not _owns(os.getppid(), inode)
     assert not _find_inode(("127.0.0.1", 1), address)
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -24,7 +24,8 @@
 from ..network.loop import Loop
 from ..peers.codec import PeerKeys
 from ..peers.component import PeersComponent
-from ..placing.component import Placement, PlacementSettings
+from ..placing.component import Placement
+from ..placing.settings import PlacementSettings
 from ..relay.origin import RelayAuthentication
 from ..requests.component import RequestsComponent
 from ..requests.context import RequestContext
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 from ..attempts.messages import Evidence
 from ..backends.borrowing import BorrowingPolicy
@@ -17,7 +17,7 @@
 from ..clock import Millis
 from ..configuration.policy import Policy
 from ..health.messages import InstanceOutcome, instance_key
-from ..health.posteriors import FaultModel, Outcome, Posterior, Posteriors
+from ..health.posteriors import Outcome, Posterior, Posteriors
 from ..logs import logger
 from ..network.loop import Loop
 from .announcements import Announcements, Usability
@@ -31,6 +31,7 @@
 from .reachability import Reachability
 from .request_limits import RequestLimits
 from .route_statistics import RouteStatistics
+from .settings import OUTCOME_BY_EVIDENCE, PlacementSettings
 
 USABLE_CONNECTION_FRACTION: Final = 0.9
 """Share of an instance's connections that the live VMs use; the rest is for VMs
@@ -50,31 +51,10 @@
 ABANDON_AFTER_FACTOR: Final = 1.5
 """An attempt is abandoned for a retry after this many times the overdue time: three
 times the 90th percentile."""
-OUTCOME_BY_EVIDENCE: Final = {
-    Evidence.SUCCESS: Outcome.GOOD,
-    Evidence.FAILURE: Outcome.FAILED,
-    Evidence.LINK: Outcome.UNREACHABLE,
-    Evidence.CONNECTION: Outcome.DOUBTFUL,
-    Evidence.SHED: Outcome.SHED,
-}
 
 log = logger("placing")
 
 
-class PlacementSettings(NamedTuple):
-    """Settings of placement.
-
-    ``floor`` is the smallest share of the instances without a recent failure that stay
-    in use. ``drain_timeout`` is the time in milliseconds after which an instance that
-    announced that it leaves must get no new requests.
-    """
-
-    zone: str
-    floor: float
-    drain_timeout: Millis = 2_000.0
-    model: FaultModel = FaultModel()
-
-
 class Placement:
     """Instances of all services (see ``backends.directory.Backends``).
 
--- a/src/galenaferry/placing/tests/limited_fleet.py
+++ b/src/galenaferry/placing/tests/limited_fleet.py
@@ -11,7 +11,8 @@
 from galenaferry.configuration.policy import DEFAULT_POLICY
 from galenaferry.framing.messages import ResponseHead
 from galenaferry.network.loop import Loop
-from galenaferry.placing.component import Placement, PlacementSettings
+from galenaferry.placing.component import Placement
+from galenaferry.placing.settings import PlacementSettings
 from galenaferry.platform.headers import HEADER_NAMES
 from galenaferry.requests.announcements import record_announcements
 
--- a/src/galenaferry/placing/tests/simulation.py
+++ b/src/galenaferry/placing/tests/simulation.py
@@ -18,7 +18,8 @@
 from galenaferry.clock import FakeClock
 from galenaferry.configuration.policy import DEFAULT_POLICY
 from galenaferry.network.loop import Loop
-from galenaferry.placing.component import Placement, PlacementSettings
+from galenaferry.placing.component import Placement
+from galenaferry.placing.settings import PlacementSettings
 
 STEP_MS = 10.0
 ATTEMPTS = 2
--- a/src/galenaferry/placing/tests/test_component.py
+++ b/src/galenaferry/placing/tests/test_component.py
@@ -11,7 +11,8 @@
 from galenaferry.health.messages import InstanceOutcome, instance_key
 from galenaferry.health.posteriors import Outcome
 from galenaferry.network.loop import Loop
-from galenaferry.placing.component import Placement, PlacementSettings
+from galenaferry.placing.component import Placement
+from galenaferry.placing.settings import PlacementSettings
 from galenaferry.placing.tests.builders import instance
 
 NORTH = PlacementSettings("north", 0.7)
