State the calls to the store once

Cause: node/adapter.py repeated the interface in crashes/store.py. Change: the node's store has both interfaces. No change of behaviour; types and tests of the node pass.

--- a/src/galenaferry/node/adapter.py
+++ b/src/galenaferry/node/adapter.py
@@ -7,27 +7,18 @@
 
 from ..backends.messages import Instance
 from ..clock import Millis
+from ..crashes.store import BlockedStore
 from ..discovery.messages import TableSource
 from ..requests.interface import HeaderNames
 from ..routing.hosts import RoutingDocument
 
 
-class Store(TableSource, Protocol):
+class Store(TableSource, BlockedStore, Protocol):
     """Calls to the platform's store."""
 
     def set_address(self, address: tuple[str, int]) -> None:
         """Use another address for all later calls."""
 
-    def put(
-        self, table: str, key: str, value: bytes, done: Callable[[str], None]
-    ) -> None:
-        """Write a row; ``done`` is called with the error, empty on success."""
-
-    def insert(
-        self, table: str, key: str, value: bytes, done: Callable[[str], None]
-    ) -> None:
-        """Write a row unless there is one; ``done`` gets the error as for ``put``."""
-
 
 class TableNames(NamedTuple):
     """Names of tables in the store.
