Go on passing requests to VMs that refused one for want of an instance

Cause: a refusal was taken for a failure of the relay VM, which is left out for a second; with all VMs left out requests went direct. Class: a fault of one service put down to the VM that reports it. Evidence: the new test fails before (none of six requests answered in time) and passes now. Change: such a refusal is no evidence against the VM; only failures to reach it, broken hops and overdue answers are.

--- a/src/galenaferry/attempts/outcomes.py
+++ b/src/galenaferry/attempts/outcomes.py
@@ -57,8 +57,9 @@
                 Execution.NOT_RUN, Retry.ALWAYS, 503, Evidence.LINK, True
             )
         case RelayRefused():
+            # The VM itself works; it has no instance for this request.
             return OutcomeEvaluation(
-                Execution.NOT_RUN, Retry.ALWAYS, 503, Evidence.LINK, False
+                Execution.NOT_RUN, Retry.ALWAYS, 503, Evidence.NONE, False
             )
         case Relayed(is_answered=is_answered):
             execution = Execution.ANSWERED if is_answered else Execution.UNKNOWN
--- a/src/galenaferry/relay/tests/test_cut_fleet.py
+++ b/src/galenaferry/relay/tests/test_cut_fleet.py
@@ -2,9 +2,13 @@
 
 import pytest
 
+from galenaferry.attempts.messages import RelayRefused
+from galenaferry.attempts.outcomes import evaluate_outcome
 from galenaferry.backends import connection
+from galenaferry.backends.messages import Instance
 from galenaferry.network import connect_check
 from galenaferry.tests.fleet import Fleet
+from galenaferry.tests.simulated_instances import HOST
 
 STABILITY_S = 3.0
 SERVED_SHARE = 2.0 / 3.0
@@ -183,3 +187,18 @@
     requests = [fleet.get(f"/read/stop-{n}", vm=fleet.vms[0]) for n in range(8)]
     fleet.run(6.5)
     assert [request.status for request in requests] == [200] * 8
+
+
+def test_a_service_without_instances_does_not_keep_others_from_being_passed_on(
+    make_fleet,
+):
+    fleet = run_cut(make_fleet)
+    backends = fleet.vms[0].backends
+    evidence = evaluate_outcome(RelayRefused(503)).evidence
+    for vm in fleet.vms[1:]:
+        address = f"{HOST}:{vm.relay.port}"
+        backends.pool(Instance(address, "", "north", False, is_relay=True))
+        backends.observe("empty", address, "r", b"/", evidence, 1.0)
+    requests = [fleet.get(f"/read/other-{n}", vm=fleet.vms[0]) for n in range(6)]
+    fleet.run(0.5)
+    assert [request.status for request in requests] == [200] * 6
