--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -28,6 +28,7 @@
     RequestProfile,
     choose_instance,
 )
+from .outcome_queue import OutcomeQueue
 from .reachability import Reachability
 from .request_limits import RequestLimits
 from .route_statistics import RouteStatistics
@@ -77,8 +78,7 @@
         self._loop = loop
         self.settings = settings
         self._random = random
-        self._broadcast = broadcast
-        self._queued_outcomes: list[InstanceOutcome] = []
+        self._outcomes = OutcomeQueue(loop, broadcast)
         self._posteriors = Posteriors(settings.model)
         self._reachability = Reachability()
         self._announcements = Announcements()
@@ -221,7 +221,7 @@
         """Send no new requests to an instance that announced that it leaves."""
         now = self._loop.clock.now()
         if self._announcements.on_leaving(instance.name, "this VM", now):
-            self._queue_broadcast(
+            self._outcomes.append(
                 InstanceOutcome(instance_key(instance.name), Outcome.LEAVING)
             )
 
@@ -238,7 +238,7 @@
         """Keep to the limit that an instance names for the requests of the fleet."""
         now = self._loop.clock.now()
         if self._request_limits.on_named(instance, per_second, "this VM", now):
-            self._queue_broadcast(
+            self._outcomes.append(
                 InstanceOutcome(
                     instance_key(instance.name),
                     Outcome.LIMITED,
@@ -253,7 +253,7 @@
             return
         now = self._loop.clock.now()
         self._request_limits.on_unlimited(instance.name, "this VM", now)
-        self._queue_broadcast(
+        self._outcomes.append(
             InstanceOutcome(instance_key(instance.name), Outcome.UNLIMITED)
         )
 
@@ -311,7 +311,7 @@
         )
         self._apply_outcome(instance.name, outcome, "this VM", now)
         if is_broadcast:
-            self._queue_broadcast(InstanceOutcome(instance_key(instance.name), outcome))
+            self._outcomes.append(InstanceOutcome(instance_key(instance.name), outcome))
 
     def on_outcomes(
         self, sender: str, instance_outcomes: tuple[InstanceOutcome, ...]
@@ -361,7 +361,7 @@
         """Count an overdue response as evidence that the instance is sick."""
         now = self._loop.clock.now()
         self._apply_outcome(instance.name, Outcome.SLOW, "this VM", now)
-        self._queue_broadcast(
+        self._outcomes.append(
             InstanceOutcome(instance_key(instance.name), Outcome.SLOW)
         )
 
@@ -429,12 +429,3 @@
 
     def _posterior(self, instance: Instance, now: Millis) -> Posterior:
         return self._posteriors.get(instance.name, now)
-
-    def _queue_broadcast(self, instance_outcome: InstanceOutcome) -> None:
-        if not self._queued_outcomes:
-            self._loop.call_soon(self._flush_broadcast)
-        self._queued_outcomes.append(instance_outcome)
-
-    def _flush_broadcast(self) -> None:
-        outcomes, self._queued_outcomes = self._queued_outcomes, []
-        self._broadcast(tuple(outcomes))
