Tell both VMs on a request's way what its instance announces

Cause: what an instance announces was recorded only by the VM that chose it. The VM that passed the answer on to its caller heard of it from a datagram, or not at all, and used the instance after its cut; a VM that took its requests, and had started since, knew less than the one it served. Class: a promise that binds the one who gave it is kept by another. Ruled out: none of it needs a slow machine; in the tests messages are lost and the clock is simulated. That the soak may read an answer after its VM was killed isn't ruled out as a further way. Change: the answer on the hop names its instance, so that its announcements (leaving, limit, pause) are recorded before it is passed on; the request names the leaving instances that may get nothing any more, which the other VM then leaves out as well.

--- a/src/galenaferry/backends/directory.py
+++ b/src/galenaferry/backends/directory.py
@@ -88,6 +88,12 @@
     def borrowing_policy(self, service: str) -> BorrowingPolicy:
         """Return the borrowing policy of a service."""
 
+    def find_instance(self, key: int) -> Instance | None:
+        """Return the instance with a key (see ``health.messages.instance_key``)."""
+
+    def unusable_leaving_keys(self, service: str) -> tuple[int, ...]:
+        """Return the keys of leaving instances that get no new requests at all."""
+
     def mark_draining(self, instance: Instance) -> None:
         """Send no new requests to an instance that reported draining."""
 
@@ -166,6 +172,14 @@
             self._vms = vms
             self._owned_by_service.clear()
 
+    def find_instance(self, key: int) -> Instance | None:
+        """Return None: requests of these deployments take no hop."""
+        return None
+
+    def unusable_leaving_keys(self, service: str) -> tuple[int, ...]:
+        """Return none: requests of these deployments take no hop."""
+        return ()
+
     def pause(self, instance: Instance, interval: Millis) -> None:
         """Do nothing: the concurrency window pauses an instance after each shed."""
 
--- a/src/galenaferry/node/relaying.py
+++ b/src/galenaferry/node/relaying.py
@@ -61,9 +61,10 @@
     ) -> None:
         """Take requests of other VMs, if there is an address for them."""
         if address is not None:
-            self._listener = RequestsComponent(
-                context, address, self.authentication.read_origin
-            ).register(root)
+            read_origin = self.backends.reader_of_origins(self.authentication)
+            self._listener = RequestsComponent(context, address, read_origin).register(
+                root
+            )
 
     @property
     def unfinished_count(self) -> int:
--- a/src/galenaferry/placing/announcements.py
+++ b/src/galenaferry/placing/announcements.py
@@ -51,14 +51,17 @@
         """Whether no instance has announced anything."""
         return not (self._leaving_since_by_name or self._paused_until_by_name)
 
-    def on_leaving(self, name: str, source: str, now: Millis) -> bool:
+    def on_leaving(self, name: str, source: str, since: Millis) -> bool:
         """Record that an instance leaves; return whether that is new.
 
         ``source`` is this VM or the address of the VM that reports it, for the log.
+        ``since`` is when that one heard of it.
         """
-        if name in self._leaving_since_by_name:
+        known_since = self._leaving_since_by_name.get(name)
+        if known_since is not None:
+            self._leaving_since_by_name[name] = min(known_since, since)
             return False
-        self._leaving_since_by_name[name] = now
+        self._leaving_since_by_name[name] = since
         if len(self._leaving_since_by_name) > MAX_LEAVING:
             del self._leaving_since_by_name[next(iter(self._leaving_since_by_name))]
         log.info("instance announced that it leaves", instance=name, told_by=source)
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -229,6 +229,30 @@
         """Whether an instance has announced that it leaves."""
         return self._announcements.is_leaving(name)
 
+    def unusable_leaving_keys(self, service: str) -> tuple[int, ...]:
+        """Return the keys of leaving instances that get no new requests at all."""
+        now = self._loop.clock.now()
+        timeout = self.settings.drain_timeout
+        return tuple(
+            instance_key(instance.name)
+            for instance in self.by_service.get(service, ())
+            if self.is_leaving(instance.name)
+            and self._announcements.usability(instance.name, timeout, now)
+            is Usability.UNUSABLE
+        )
+
+    def on_unusable_leaving(self, keys: Iterable[int], source: str) -> None:
+        """Send no requests to leaving instances that another VM sends none to."""
+        since = self._loop.clock.now() - self.settings.drain_timeout
+        for key in keys:
+            instance = self.find_instance(key)
+            if instance is not None:
+                self._announcements.on_leaving(instance.name, source, since)
+
+    def find_instance(self, key: int) -> Instance | None:
+        """Return the listed instance with a key."""
+        return self._instance_by_key.get(key)
+
     def pause(self, instance: Instance, interval: Millis) -> None:
         """Send no requests to an instance that asked for a pause."""
         now = self._loop.clock.now()
--- a/src/galenaferry/relay/backends.py
+++ b/src/galenaferry/relay/backends.py
@@ -16,10 +16,12 @@
 from ..backends.pool import InstancePool
 from ..clock import Millis
 from ..configuration.policy import Policy
+from ..framing.messages import RequestHead
 from ..logs import logger
 from ..network.connect_check import ConnectCheck
 from ..network.loop import Loop
 from ..placing.component import ABANDON_AFTER_FACTOR, Placement
+from .origin import Origin, ReadOrigin, RelayAuthentication
 from .reach import CHECKED_INSTANCES, MIN_CHECK_INTERVAL_MS, OwnReach
 from .relay_vms import RelayVm, RelayVms
 
@@ -112,7 +114,8 @@
         now = self._loop.clock.now()
         if criteria.may_relay and self._must_relay(criteria, now):
             tried = self._pool_by_address.keys() & criteria.tried
-            relay = self._choose_relay(tried, now) if len(tried) < MAX_RELAYS else None
+            is_allowed = len(tried) < MAX_RELAYS
+            relay = self._choose_relay(criteria, tried, now) if is_allowed else None
             if relay is not None:
                 self.relayed_count += 1
                 return Chosen(relay)
@@ -138,25 +141,39 @@
         """Return the borrowing policy of a service."""
         return self._placement.borrowing_policy(service)
 
+    def find_instance(self, key: int) -> Instance | None:
+        """Return the listed instance with a key."""
+        return self._placement.find_instance(key)
+
+    def unusable_leaving_keys(self, service: str) -> tuple[int, ...]:
+        """Return the keys of leaving instances that get no new requests at all."""
+        return self._placement.unusable_leaving_keys(service)
+
+    def reader_of_origins(self, authentication: RelayAuthentication) -> ReadOrigin:
+        """Return a reader that applies what another VM says of leaving instances."""
+
+        def read_origin(head: RequestHead, address: str) -> tuple[Origin, RequestHead]:
+            origin, stripped = authentication.read_origin(head, address)
+            self._placement.on_unusable_leaving(origin.leaving_keys, address)
+            return origin, stripped
+
+        return read_origin
+
     def mark_draining(self, instance: Instance) -> None:
         """Send no new requests to an instance that announced that it leaves."""
-        if not instance.is_relay:
-            self._placement.mark_draining(instance)
+        self._placement.mark_draining(instance)
 
     def pause(self, instance: Instance, interval: Millis) -> None:
         """Send no requests to an instance that asked for a pause."""
-        if not instance.is_relay:
-            self._placement.pause(instance, interval)
+        self._placement.pause(instance, interval)
 
     def limit_requests(self, instance: Instance, per_second: float) -> None:
         """Keep to the limit that an instance names for the requests of the fleet."""
-        if not instance.is_relay:
-            self._placement.limit_requests(instance, per_second)
+        self._placement.limit_requests(instance, per_second)
 
     def end_request_limit(self, instance: Instance, sent_at: Millis) -> None:
         """Handle a success without a limit to a request that was sent at a time."""
-        if not instance.is_relay:
-            self._placement.end_request_limit(instance, sent_at)
+        self._placement.end_request_limit(instance, sent_at)
 
     def close_idle(self) -> None:
         """Close connections that were idle too long."""
@@ -236,13 +253,15 @@
         )
         return failures >= CONNECT_FAILURES
 
-    def _choose_relay(self, tried: set[str], now: Millis) -> Instance | None:
+    def _choose_relay(
+        self, criteria: SelectionCriteria, tried: set[str], now: Millis
+    ) -> Instance | None:
         in_flight = {a: pool.in_flight for a, pool in self._pool_by_address.items()}
         vms = [vm for vm in self._relay_vms() if vm.address not in tried]
         vm = self._choice.choose(vms, self.zone, in_flight, self._random, now)
         if vm is None:
             return None
-        return Instance(vm.address, "", vm.zone, False, is_relay=True)
+        return Instance(vm.address, criteria.service, vm.zone, False, is_relay=True)
 
     def _check_if_needed(self, is_connect_failure: bool, now: Millis) -> None:
         if self.is_cut_off or self._is_checking:
--- a/src/galenaferry/relay/origin.py
+++ b/src/galenaferry/relay/origin.py
@@ -1,7 +1,8 @@
 """Where a request comes from: a caller, or a VM that passes on its caller's request.
 
-A VM that passes a request on adds a header with the caller's address and a code that
-only VMs of the fleet can compute. Such a request is not passed on again.
+A VM that passes a request on adds a header with the caller's address, the instances
+that the request must not reach, and a code that only VMs of the fleet can compute. Such
+a request is not passed on again.
 """
 
 import hashlib
@@ -15,21 +16,28 @@
 
 RELAY_HEADER: Final = b"galenaferry-relayed-for"
 MAC_BYTES: Final = 16
+KEY_DIGITS: Final = 16
+HEXADECIMAL_DIGITS: Final = frozenset(b"0123456789abcdef")
 REQUEST: Final = b"request"
 TRIAL: Final = b"trial"
+MAX_LEAVING_KEYS: Final = 32
+"""Leaving instances that a request names; the header stays below 1 KiB."""
 
 
 class Origin(NamedTuple):
     """Origin of a request.
 
     ``caller`` is the IP address of the caller, empty if unknown. ``is_trial`` says that
-    the other VM tries a request that may crash instances (see ``crashes``). ``error``
-    says why a request of another VM is refused, empty if it is not.
+    the other VM tries a request that may crash instances (see ``crashes``).
+    ``leaving_keys`` are the keys of instances to which the other VM sends no requests
+    any more, since they have announced to it that they leave. ``error`` says why a
+    request of another VM is refused, empty if it is not.
     """
 
     caller: str = ""
     is_relayed: bool = False
     is_trial: bool = False
+    leaving_keys: tuple[int, ...] = ()
     error: str = ""
 
 
@@ -63,7 +71,8 @@
     def header(self, head: RequestHead, request_id: bytes, origin: Origin) -> Header:
         """Return the header for a request that is passed on for a caller."""
         kind = TRIAL if origin.is_trial else REQUEST
-        text = b"%b %b" % (origin.caller.encode(), kind)
+        keys = b",".join(map(render_key, origin.leaving_keys[:MAX_LEAVING_KEYS]))
+        text = b"%b %b %b" % (origin.caller.encode(), kind, keys)
         mac = self._compute_mac(head, request_id, text)
         return RELAY_HEADER, text + b" " + mac
 
@@ -87,8 +96,17 @@
         expected = self._compute_mac(head, request_id, text)
         if not hmac.compare_digest(mac, expected):
             return Err("a request with a wrong header of a VM of this fleet")
-        caller, _, kind = text.decode("latin-1").partition(" ")
-        return Ok(Origin(caller, is_relayed=True, is_trial=kind == TRIAL.decode()))
+        caller, kind, keys = text.split(b" ")
+        parsed = [parse_key(key) for key in keys.split(b",") if key]
+        leaving_keys = tuple(key for key in parsed if key is not None)
+        return Ok(
+            Origin(
+                caller.decode("latin-1"),
+                is_relayed=True,
+                is_trial=kind == TRIAL,
+                leaving_keys=leaving_keys,
+            )
+        )
 
     def _compute_mac(self, head: RequestHead, request_id: bytes, text: bytes) -> bytes:
         digest = hashlib.blake2b(digest_size=MAC_BYTES, key=self._key)
@@ -98,6 +116,18 @@
         return digest.hexdigest().encode()
 
 
+def render_key(key: int) -> bytes:
+    """Return the key of an instance as text."""
+    return b"%016x" % key
+
+
+def parse_key(text: bytes) -> int | None:
+    """Return the key of an instance, None if the text is none."""
+    if len(text) != KEY_DIGITS or not HEXADECIMAL_DIGITS.issuperset(text):
+        return None
+    return int(text, 16)
+
+
 def _without_relay_header(head: RequestHead) -> RequestHead:
     if head.header(RELAY_HEADER) is None:
         return head
--- a/src/galenaferry/relay/tests/test_relayed_announcements.py
+++ b/src/galenaferry/relay/tests/test_relayed_announcements.py
@@ -123,3 +123,11 @@
     assert is_told(send(fleet, "relayed"), "server-limit")
     rows = fleet.vms[CUT_VM].placement.dump()["bookings"]
     assert rows[server.instance.name]["limit_per_second"] == 0.5
+
+
+def test_the_instance_of_an_answer_is_named_to_no_caller(fleet):
+    cut(fleet)
+    announce(fleet, b"galenaferry-relayed-instance: 0123456789abcdef\r\n")
+    relayed = send(fleet, "relayed")
+    assert {request.status for request in relayed} == {200}
+    assert not is_told(relayed, "galenaferry-relayed-instance")
--- a/src/galenaferry/requests/announcements.py
+++ b/src/galenaferry/requests/announcements.py
@@ -11,6 +11,7 @@
 from ..framing.messages import ResponseHead
 from ..logs import logger
 from ..numbers import parse_decimal_number
+from ..relay.answers import read_instance_key
 from .interface import HeaderNames
 from .messages import RETRY_AFTER_HEADER
 
@@ -36,7 +37,7 @@
     backends : Backends
     names : HeaderNames
     instance : Instance
-        Instance that the request was sent to.
+        Instance that the request was sent to, or the VM that passed it on.
     head : ResponseHead
     outcome : AttemptOutcome
         Outcome that the head stands for. Another instance at the address speaks only
@@ -44,6 +45,12 @@
     sent_at : float
         Monotonic time in milliseconds at which the attempt started.
     """
+    if instance.is_relay:
+        key = read_instance_key(head)
+        found = None if key is None else backends.find_instance(key)
+        if found is None:
+            return
+        instance = found
     if isinstance(outcome, Misdirected):
         return
     if names.draining and head.header(names.draining) == LEAVING_VALUE:
--- a/src/galenaferry/requests/attempt_headers.py
+++ b/src/galenaferry/requests/attempt_headers.py
@@ -36,6 +36,8 @@
     if instance.is_relay:
         assert context.relay_authentication is not None
         _, request_id = id_header
+        leaving_keys = context.directory.unusable_leaving_keys(instance.service)
+        origin = origin._replace(leaving_keys=leaving_keys)
         added.append(context.relay_authentication.header(head, request_id, origin))
         return tuple(added)
     if names.attempt:
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -26,6 +26,7 @@
 from ..configuration.policy import WAIT
 from ..framing.heads import encode_request
 from ..framing.messages import Header, RequestHead, ResponseHead
+from ..relay.answers import instance_headers, without_instance
 from ..relay.origin import UNKNOWN_ORIGIN, Origin
 from ..routing.table import NoConfiguration, NoRoute, Route
 from .admission import TOKEN_RECHECK_MS, Admission, AttemptPermit
@@ -530,7 +531,9 @@
 
     def _forward_head(self, head: ResponseHead, evaluation: OutcomeEvaluation) -> None:
         """Start the caller's answer with the response head, or buffer it."""
+        head = without_instance(head)
         extra: tuple[Header, ...] = (self._id_header,)
+        extra += instance_headers(self._origin, self._instance)
         if evaluation.execution is not Execution.ANSWERED:
             self._context.counters.count_unanswered(self._ran)
             extra += ((RAN_HEADER, self._ran.value.encode()),)
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -190,9 +190,8 @@
             relay_authentication=self.authentication,
         )
         self.component = RequestsComponent(self.context, (HOST, 0))
-        self.relay = RequestsComponent(
-            self.context, (HOST, 0), self.authentication.read_origin
-        )
+        read_origin = self.backends.reader_of_origins(self.authentication)
+        self.relay = RequestsComponent(self.context, (HOST, 0), read_origin)
 
     def _relay_vms(self):
         return [
