Move the choice of usable instances to their announcements

Change: no behaviour; Announcements picks the candidates that may get requests and the leaving ones that get none. Evidence: tests of relay and placing pass.

--- a/src/galenaferry/placing/announcements.py
+++ b/src/galenaferry/placing/announcements.py
@@ -15,6 +15,7 @@
 
 from ..clock import Millis
 from ..logs import logger
+from .candidates import StaticCandidate
 
 MAX_PAUSE_MS: Final = 60_000.0
 """Longest pause that is granted. A longer one would exclude an instance because of one
@@ -81,7 +82,30 @@
                 granted_ms=int(granted),
             )
 
-    def usability(self, name: str, drain_timeout: Millis, now: Millis) -> Usability:
+    def usable(
+        self, candidates: list[StaticCandidate], drain_timeout: Millis, now: Millis
+    ) -> list[StaticCandidate]:
+        """Return the candidates whose announcements permit new requests."""
+        by_usability: dict[Usability, list[StaticCandidate]] = {}
+        for candidate in candidates:
+            usability = self._usability(candidate.name, drain_timeout, now)
+            by_usability.setdefault(usability, []).append(candidate)
+        return by_usability.get(Usability.USABLE) or by_usability.get(
+            Usability.LAST_RESORT, []
+        )
+
+    def unusable_leaving(
+        self, names: list[str], drain_timeout: Millis, now: Millis
+    ) -> list[str]:
+        """Return the names of leaving instances that get no new requests at all."""
+        return [
+            name
+            for name in names
+            if name in self._leaving_since_by_name
+            and self._usability(name, drain_timeout, now) is Usability.UNUSABLE
+        ]
+
+    def _usability(self, name: str, drain_timeout: Millis, now: Millis) -> Usability:
         """Return whether a new request may be sent to an instance now."""
         if self.paused_until(name, now) > now:
             return Usability.UNUSABLE
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -20,7 +20,7 @@
 from ..health.posteriors import Outcome, Posterior, Posteriors
 from ..logs import logger
 from ..network.loop import Loop
-from .announcements import Announcements, Usability
+from .announcements import Announcements
 from .candidates import StaticCandidate, StaticCandidates
 from .decisions import (
     PROBE_BELOW,
@@ -136,7 +136,8 @@
             may_send = self._request_limits.may_send
             untried = [static for static in untried if may_send(static.name, now)]
         if not self._announcements.is_empty:
-            untried = self._usable(untried, now)
+            drain_timeout = self.settings.drain_timeout
+            untried = self._announcements.usable(untried, drain_timeout, now)
         candidates = [self._candidate(static, now) for static in untried]
         profile = RequestProfile(
             is_idempotent=criteria.is_idempotent,
@@ -148,20 +149,6 @@
             self._request_limits.on_sent(choice.instance.name, now)
         return choice
 
-    def _usable(
-        self, static_candidates: list[StaticCandidate], now: Millis
-    ) -> list[StaticCandidate]:
-        """Return the candidates whose announcements permit new requests."""
-        by_usability: dict[Usability, list[StaticCandidate]] = {}
-        for static in static_candidates:
-            usability = self._announcements.usability(
-                static.name, self.settings.drain_timeout, now
-            )
-            by_usability.setdefault(usability, []).append(static)
-        return by_usability.get(Usability.USABLE) or by_usability.get(
-            Usability.LAST_RESORT, []
-        )
-
     def next_return(self, service: str) -> Millis | None:
         """Return when a service that takes no requests now is expected to take one.
 
@@ -231,15 +218,11 @@
 
     def unusable_leaving_keys(self, service: str) -> tuple[int, ...]:
         """Return the keys of leaving instances that get no new requests at all."""
+        names = [instance.name for instance in self.by_service.get(service, ())]
+        drain_timeout = self.settings.drain_timeout
         now = self._loop.clock.now()
-        timeout = self.settings.drain_timeout
-        return tuple(
-            instance_key(instance.name)
-            for instance in self.by_service.get(service, ())
-            if self.is_leaving(instance.name)
-            and self._announcements.usability(instance.name, timeout, now)
-            is Usability.UNUSABLE
-        )
+        leaving = self._announcements.unusable_leaving(names, drain_timeout, now)
+        return tuple(map(instance_key, leaving))
 
     def on_unusable_leaving(self, keys: Iterable[int], source: str) -> None:
         """Send no requests to leaving instances that another VM sends none to."""
