Show that the VMs' retry budgets add up to more than the fleet's (fails)

Cause, as the test shows: each VM may spend what its requests of the last 10 s earn, at any moment. While all instances shed it spends whenever that amount is at its highest; the highest amounts of all VMs are of different moments, and add up to more than the fleet's requests of any one window earn. Class: local bounds over sliding windows don't add up to the fleet's.

--- a/src/galenaferry/attempts/tests/test_fleet_budget.py
+++ b/src/galenaferry/attempts/tests/test_fleet_budget.py
@@ -1,9 +1,19 @@
 """Division of the fleet's retry budget between VMs."""
 
+from bisect import bisect_left
+from random import Random
+
+import pytest
+
 from galenaferry.attempts.fleet_budget import BudgetBounds, FleetBudgets
 from galenaferry.clock import FakeClock
 
 BOUNDS = BudgetBounds(ratio=0.2, slack=58.0, window=10_000.0)
+STEP_MS = 20.0
+TOKEN_WAIT_MS = 1_000.0
+"""Time for which a shed request waits for a token of its next attempt."""
+ARRIVAL_DELAY_MS = 350.0
+"""Longest time from the token of an attempt to its arrival at the instance."""
 
 
 def spend_all(budget):
@@ -69,3 +79,64 @@
     for _ in range(10):
         budgets.retry("bookings").record_request(20)
     assert spend_all(budgets.retry("bookings")) == 2
+
+
+def play_shed_requests(vms, per_second, seed):
+    """Return the times of requests and retries while all instances shed for 30 s.
+
+    Each request comes to a random VM and wants two retries as soon as it has tokens.
+    """
+    clock, random = FakeClock(), Random(seed)
+    fleet = [FleetBudgets(BOUNDS, clock, lambda: vms, True) for _ in range(vms)]
+    wanted = [[] for _ in range(vms)]
+    requests, arrivals = [], []
+    for step in range(2_500):
+        clock.advance(STEP_MS)
+        now = clock.now()
+        count = sum(
+            random.random() < per_second * STEP_MS / 10_000.0 for _ in range(10)
+        )
+        for _ in range(count):
+            number = random.randrange(vms)
+            fleet[number].retry("bookings").record_request(20)
+            requests.append(now)
+            if 500 <= step < 2_000:
+                wanted[number] += [now + TOKEN_WAIT_MS] * 2
+        for number, budgets in enumerate(fleet):
+            waiting = [until for until in wanted[number] if until >= now]
+            while waiting and budgets.shed("bookings").try_spend():
+                waiting.pop()
+                arrivals.append(now + random.random() * ARRIVAL_DELAY_MS)
+            wanted[number] = waiting
+    return requests, sorted(arrivals)
+
+
+def most_retries_beyond_bound(requests, arrivals):
+    """Return by how many retries the worst window breaks the bound.
+
+    Requests count in the window, the one before it or half a window before it,
+    whichever has the most.
+    """
+
+    def count(times, since):
+        return bisect_left(times, since + BOUNDS.window) - bisect_left(times, since)
+
+    return max(
+        count(arrivals, since)
+        - BOUNDS.ratio
+        * max(count(requests, since - BOUNDS.window * n / 2) for n in range(3))
+        - BOUNDS.slack
+        for since in arrivals
+    )
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    ("vms", "per_second"), [(20, 50), (36, 92), (44, 92), (98, 92)]
+)
+def test_retries_of_vms_whose_requests_come_unevenly_stay_within_the_bound(
+    vms, per_second, seed
+):
+    requests, arrivals = play_shed_requests(vms, per_second, seed)
+    assert most_retries_beyond_bound(requests, arrivals) <= 0.0
+    assert len(arrivals) > 0.5 * BOUNDS.ratio * per_second * 30.0
