Refuse requests that a cut VM can pass on to nobody at once, as not run

Cause: without another VM to pass requests on to, a VM that knows that it reaches no instance tried its instances directly. Class: a request is tried against better knowledge. The new test fails before, with connections that are closed at once (20 of 20 502) and that hang (20 of 20 without an answer after 0.5 s), and passes now; 94 tests of relay and crashes pass. Change: unless an instance has answered within the last second, so that open connections live on, such a request is refused at once with 503.

--- a/src/galenaferry/relay/backends.py
+++ b/src/galenaferry/relay/backends.py
@@ -121,6 +121,8 @@
                 return Chosen(relay)
             if tried and self.is_cut_off:
                 return NoInstance()
+        if self.is_cut_off and not self._reach.has_contact(now):
+            return NoInstance()
         return self._placement.choose(criteria, share, may_borrow)
 
     def capacity_share(self, policy: Policy) -> CapacityShare:
--- a/src/galenaferry/relay/reach.py
+++ b/src/galenaferry/relay/reach.py
@@ -16,7 +16,8 @@
 down."""
 MIN_CHECK_INTERVAL_MS: Final[Millis] = 500.0
 CONTACT_MS: Final[Millis] = 1_000.0
-"""Time after an answer in which failures other than of connecting need no check."""
+"""Time after an answer in which failures other than of connecting need no check, and in
+which a VM that is cut off still uses its open connections."""
 CHECKS_TO_RECOVER: Final = 2
 """Successful checks in a row that end a cut."""
 RETURN_MS: Final[Millis] = 2_000.0
@@ -38,11 +39,15 @@
         """Handle an answer of an instance."""
         self._contact_at = now
 
+    def has_contact(self, now: Millis) -> bool:
+        """Whether an instance has answered lately, on a connection that still works."""
+        return now <= self._contact_at + CONTACT_MS
+
     def needs_check(self, is_connect_failure: bool, now: Millis) -> bool:
         """Return whether a failure at an instance calls for a check now."""
         if now < self._check_started_at + MIN_CHECK_INTERVAL_MS:
             return False
-        return is_connect_failure or now > self._contact_at + CONTACT_MS
+        return is_connect_failure or not self.has_contact(now)
 
     def on_check_started(self, now: Millis) -> None:
         """Handle the start of a check."""
--- a/src/galenaferry/relay/tests/test_cut_fleet.py
+++ b/src/galenaferry/relay/tests/test_cut_fleet.py
@@ -65,7 +65,7 @@
     return served_at_cut < SERVED_SHARE * served_at_others and failed > allowed
 
 
-@pytest.mark.parametrize("how", ["refuse", "reset", "hang"])
+@pytest.mark.parametrize("how", ["refuse", "reset", "close", "hang"])
 def test_callers_of_vms_that_reach_no_instance_are_served(make_fleet, how):
     cut = {0, 1, 2, 3}
     requests = run_cut_off(make_fleet(), cut, how)
@@ -202,3 +202,15 @@
     requests = [fleet.get(f"/read/other-{n}", vm=fleet.vms[0]) for n in range(6)]
     fleet.run(0.5)
     assert [request.status for request in requests] == [200] * 6
+
+
+@pytest.mark.parametrize("how", ["close", "hang"])
+def test_bookings_that_no_vm_can_send_on_are_refused_at_once_and_did_not_run(
+    make_fleet, how
+):
+    fleet = run_cut(make_fleet, how, cut=range(6))
+    fleet.run(3.0)
+    requests = [fleet.post(f"/book/none-{n}", b"data") for n in range(20)]
+    fleet.run(0.5)
+    assert [request.status for request in requests] == [503] * 20
+    assert not [a for a in fleet.arrivals if a.target.startswith(b"/book/none")]
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -267,8 +267,9 @@
     def cut(self, number, how):
         """Cut a VM off from all instances.
 
-        ``refuse`` refuses its new connections, ``reset`` ends its open ones as well, and
-        with ``hang`` none of them answers.
+        ``refuse`` refuses its new connections, ``reset`` ends its open ones as well,
+        ``close`` ends them all, new ones as soon as they are open, and with ``hang``
+        none of them answers.
         """
         for server in self.servers:
             address = server.seen_by(number).address
@@ -278,6 +279,9 @@
                 case "reset":
                     server.refuse(number)
                     server.reset(number)
+                case "close":
+                    server.closing_for_vms.add(number)
+                    server.reset(number)
                 case "hang":
                     server.mute(number)
                     self.hung_addresses.add(address)
--- a/src/galenaferry/tests/simulated_instances.py
+++ b/src/galenaferry/tests/simulated_instances.py
@@ -39,6 +39,7 @@
         self.announced = b""
         self.queue = deque()
         self.connections = set()
+        self.closing_for_vms = set()
         self.listener_by_vm = {}
         self.address_by_vm = {}
         self.instance = Instance(
@@ -73,7 +74,8 @@
                 connection.stream.pause()
 
     def accept_again(self, vm_number):
-        """End ``refuse``."""
+        """End ``refuse``, and the closing of new connections."""
+        self.closing_for_vms.discard(vm_number)
         if not self.listener_by_vm[vm_number].is_open:
             address = HOST, int(self.address_by_vm[vm_number].rpartition(":")[2])
             self.listener_by_vm[vm_number] = Listener(
@@ -121,6 +123,9 @@
                 self.run(waiting)
 
     def _accept(self, sock, vm_number):
+        if vm_number in self.closing_for_vms:
+            sock.close()
+            return
         self.connections.add(InstanceConnection(self, sock, vm_number))
 
 
