Count requests of cut VMs in the soak while another VM is in touch

Cause: the check of the soak compared cut VMs with others also while there were none: what it counted as served by the others was of other moments. The users' rule is on machines in touch only. Change: a request counts only if a VM that is not cut off is in touch when it is sent: not stopping or starting, and neither paused nor killed within the recovery time. Bounds, shares and times are as they were; tests of both.

--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol
 
@@ -69,12 +70,25 @@
         cut = (vm for vm in self._vms if vm.front_address in self._started_at_by_vm)
         return any(_owns(vm.pid, inode) for vm in cut)
 
-    def on_sent(self, request: str, vm: Address, now: Millis) -> None:
-        """Count a request of a caller, if it was sent late enough in a cut."""
-        started_at = max(self._started_at_by_vm.values(), default=now)
-        if now < started_at + GRACE_MS:
+    def on_sent(
+        self,
+        request: str,
+        vm: Address,
+        now: Millis,
+        is_in_touch: Callable[[Address, Millis], bool],
+    ) -> None:
+        """Count a request of a caller, if it was sent late enough in a cut.
+
+        While no VM that reaches instances is in touch there is nothing to compare with,
+        and nobody to pass requests on to.
+        """
+        cut = self._started_at_by_vm
+        if now < max(cut.values(), default=now) + GRACE_MS:
             return
-        is_cut = vm in self._started_at_by_vm
+        others = {other.front_address for other in self._vms} - cut.keys()
+        if not any(is_in_touch(other, now) for other in others):
+            return
+        is_cut = vm in cut
         self._is_cut_by_request[request] = is_cut
         self._sent[is_cut] += 1
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,7 @@
 from .proxy import DELAY_MS, Proxy
 from .proxy import FAULTS as LINK_FAULTS
 from .store import Store
+from .timing import VM_RESTART_MS
 
 WARM_UP_MS = 4_000.0
 """Time between the start of the VMs and the first request."""
@@ -145,8 +146,8 @@
             case 0:
                 self._signal_vm(vm, signal.SIGKILL, duration_ms)
             case 1:
-                # The VM is started again after 7 s, past its grace period of 6 s.
-                self._signal_vm(vm, signal.SIGTERM, 7_000.0)
+                # The VM is started again after its grace period of 6 s.
+                self._signal_vm(vm, signal.SIGTERM, VM_RESTART_MS)
             case 2:
                 self._signal_vm(vm, signal.SIGSTOP, duration_ms)
             case 3 if self._has_store_faults:
--- a/soak/tests/test_timing.py
+++ b/soak/tests/test_timing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from soak.timing import TimingChecks
+from soak.timing import RECOVERY_MS, VM_RESTART_MS, TimingChecks
 
 VM = ("127.0.0.2", 20000)
 
@@ -157,3 +157,22 @@
     late, early = (("on_connection_lost", "b1", at) for at in (11_500.0, 11_400.0))
     assert findings_of(*SENT_AFTER_STOP, endless, late) == []
     assert len(findings_of(*SENT_AFTER_STOP, endless, early)) == 1
+
+
+@pytest.mark.parametrize(
+    ("event", "disturbed_until"),
+    [
+        (("on_vm_stop", VM, 10_000.0), 10_000.0 + VM_RESTART_MS + RECOVERY_MS),
+        (("on_vm_fault", VM, 10_000.0, 500.0), 10_500.0 + RECOVERY_MS),
+    ],
+)
+def test_a_vm_is_in_touch_until_a_fault_and_again_some_time_after(
+    event, disturbed_until
+):
+    timing = TimingChecks([])
+    assert timing.is_in_touch(VM, 9_000.0)
+    name, *arguments = event
+    getattr(timing, name)(*arguments)
+    assert not timing.is_in_touch(VM, 10_000.0)
+    assert not timing.is_in_touch(VM, disturbed_until)
+    assert timing.is_in_touch(VM, disturbed_until + 1.0)
--- a/soak/timing.py
+++ b/soak/timing.py
@@ -22,6 +22,8 @@
 RECOVERY_MS = 4_000.0
 """Time for which effects of an ended fault are excused: a VM calls a failed store again
 within 3 s, and starts or catches up within 1 s."""
+VM_RESTART_MS = 7_000.0
+"""Time after the start of a graceful shutdown at which a VM is started again."""
 STOP_ACCEPT_MS = 2_500.0
 """Time for which a stopping VM accepts requests; it completes them within its grace
 period of 6 s."""
@@ -101,11 +103,18 @@
         is_hit = any(last >= sent_at for _, last in spans)
         return is_hit or vm in self._stopped_at_by_vm
 
+    def is_in_touch(self, vm: Address, now: Millis) -> bool:
+        """Whether neither a fault nor a planned stop affects a VM now."""
+        spans = self._fault_spans_by_vm.get(vm, [])
+        stopped_at = self._stopped_at_by_vm.get(vm, -math.inf)
+        is_back = now > stopped_at + VM_RESTART_MS + RECOVERY_MS
+        return is_back and not any(first <= now <= last for first, last in spans)
+
     def on_request_sent(self, request: str, vm: Address, now: Millis) -> None:
         """Record when a caller sent a request to a VM."""
         self._sent_by_request[request] = vm, now
         if self.cuts is not None:
-            self.cuts.on_sent(request, vm, now)
+            self.cuts.on_sent(request, vm, now, self.is_in_touch)
 
     def on_vm_stop(self, vm: Address, now: Millis) -> None:
         """Record the start of a VM's graceful shutdown."""
