Reset connections in the soak where the fault says so

Cause: the proxy closed the connections in order for that fault, and an orderly end completes a response that has no length: the VMs passed on what had come, as they must. Evidence: the new test fails before, for open and for new connections, and passes now; the harness doesn't log the times of its faults, so that the moment follows from their order (endless, reset) and from nothing else having closed that connection. Change: the fault resets. No check is changed.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -17,7 +17,7 @@
 class Proxy:
     """Forward connections to a target; ``fault`` is empty or one of ``FAULTS``.
 
-    ``delay`` holds all bytes back by ``DELAY_MS``, ``reset`` closes connections,
+    ``delay`` holds all bytes back by ``DELAY_MS``, ``reset`` resets connections,
     ``silence`` drops the bytes of both directions and ``one_way`` those from the
     target. A connection that drops bytes keeps dropping them after the fault, as when
     a middlebox has lost its connection state; new connections work again. ``is_cut``
@@ -45,7 +45,7 @@
         self._pairs = [pair for pair in self._pairs if pair.is_open]
         for pair in self._pairs:
             if fault == "reset":
-                pair.close()
+                pair.reset()
             elif fault in ("silence", "one_way"):
                 pair.drop_bytes(both_ways=fault == "silence")
 
@@ -78,7 +78,7 @@
             pair.reset()
             return
         if self.fault == "reset":
-            pair.close()
+            pair.reset()
         elif self.fault in ("silence", "one_way"):
             pair.drop_bytes(both_ways=self.fault == "silence")
 
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -95,16 +95,21 @@
     assert f"{second} ran and was said not to have" in record.findings
 
 
+def start_proxy(loop):
+    """Return a proxy before a server that answers, and its address."""
+    server = ScriptedServer(loop, lambda data: b"pong")
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        address = free.getsockname()
+    return Proxy(loop, address, server.address), address
+
+
 @pytest.mark.parametrize(
     ("fault", "is_forwarded"), [("", True), ("silence", False), ("one_way", False)]
 )
 def test_proxy_drops_bytes_per_fault(fault, is_forwarded):
     loop = Loop()
-    server = ScriptedServer(loop, lambda data: b"pong")
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        address = free.getsockname()
-    proxy = Proxy(loop, address, server.address)
+    proxy, address = start_proxy(loop)
     if fault:
         proxy.start_fault(fault)
     caller = socket.create_connection(address)
@@ -119,3 +124,22 @@
             continue
     assert (received == b"pong") is is_forwarded
     caller.close()
+
+
+@pytest.mark.parametrize("is_open_before", [True, False])
+def test_a_reset_is_no_orderly_end_that_completes_a_response_without_length(
+    is_open_before,
+):
+    loop = Loop()
+    proxy, address = start_proxy(loop)
+    if not is_open_before:
+        proxy.start_fault("reset")
+    caller = socket.create_connection(address)
+    caller.settimeout(5.0)
+    for _ in range(20):
+        loop.poll(1.0)
+    if is_open_before:
+        proxy.start_fault("reset")
+    with pytest.raises(ConnectionResetError):
+        caller.recv(100)
+    caller.close()
