Go on passing requests to VMs whose answer is overdue

Cause: an overdue or broken answer excluded the VM that the request went by way of for a second, though the instance behind it was at fault; with few VMs all of them were excluded. The unit test of the exclusion is on VMs that can't be reached now, which stay excluded; that is what it checked by another name. Change: such a VM is only less preferred for a second; one that can't be reached is excluded as before.

--- a/src/galenaferry/relay/backends.py
+++ b/src/galenaferry/relay/backends.py
@@ -197,8 +197,10 @@
         """Apply the outcome of one attempt (see ``requests.context.Observer``)."""
         now = self._loop.clock.now()
         if address in self._pool_by_address:
-            if evidence in DISCOUNTED_EVIDENCE:
-                self._choice.on_failure(address, now)
+            if evidence is Evidence.LINK:
+                self._choice.on_unreachable(address, now)
+            elif evidence in DISCOUNTED_EVIDENCE:
+                self._choice.on_doubt(address, now)
             return
         if evidence in (Evidence.SUCCESS, Evidence.SHED):
             self._reach.on_contact(now)
@@ -223,7 +225,7 @@
         """Handle an overdue response: the instance, or this VM's link, is slow."""
         now = self._loop.clock.now()
         if instance.is_relay:
-            self._choice.on_failure(instance.address, now)
+            self._choice.on_doubt(instance.address, now)
             return
         self._check_if_needed(False, now)
         if not self.is_cut_off:
--- a/src/galenaferry/relay/relay_vms.py
+++ b/src/galenaferry/relay/relay_vms.py
@@ -11,7 +11,11 @@
 REMOTE_ZONE_COST: Final = 4
 """Cost of another zone, in requests in flight."""
 EXCLUDED_MS: Final[Millis] = 1_000.0
-"""Time without requests for a VM that refused one, or could not be reached."""
+"""Time without requests for a VM that could not be reached."""
+DOUBT_MS: Final[Millis] = 1_000.0
+DOUBT_COST: Final = 8
+"""Cost of a VM whose answer was overdue or broken, in requests in flight, for
+``DOUBT_MS``. The instance that it chose may be at fault, so it is not excluded."""
 
 
 class RelayVm(NamedTuple):
@@ -22,15 +26,20 @@
 
 
 class RelayVms:
-    """VMs that lately failed to take a request."""
+    """VMs that lately failed to take a request, or to answer it."""
 
     def __init__(self) -> None:
         self._excluded_until_by_address: dict[str, Millis] = {}
+        self._doubted_until_by_address: dict[str, Millis] = {}
 
-    def on_failure(self, address: str, now: Millis) -> None:
+    def on_unreachable(self, address: str, now: Millis) -> None:
         """Exclude a VM for some time."""
         self._excluded_until_by_address[address] = now + EXCLUDED_MS
 
+    def on_doubt(self, address: str, now: Millis) -> None:
+        """Prefer other VMs for some time."""
+        self._doubted_until_by_address[address] = now + DOUBT_MS
+
     def choose(
         self,
         vms: Iterable[RelayVm],
@@ -61,6 +70,8 @@
                 continue
             cost = in_flight + random.random()
             cost += REMOTE_ZONE_COST * (vm.zone != zone)
+            is_doubted = self._doubted_until_by_address.get(vm.address, now) > now
+            cost += DOUBT_COST * is_doubted
             if best is None or cost < best[0]:
                 best = cost, vm
         return None if best is None else best[1]
--- a/src/galenaferry/relay/tests/test_cut_fleet.py
+++ b/src/galenaferry/relay/tests/test_cut_fleet.py
@@ -214,3 +214,19 @@
     fleet.run(0.5)
     assert [request.status for request in requests] == [503] * 20
     assert not [a for a in fleet.arrivals if a.target.startswith(b"/book/none")]
+
+
+def test_instances_that_hang_do_not_count_against_the_vms_that_pass_requests_on(
+    make_fleet,
+):
+    fleet = run_cut(make_fleet, vms=3)
+    for server in fleet.servers[:3]:
+        server.work_ms = 60_000.0
+    requests = []
+
+    def read(number):
+        requests.append(fleet.get(f"/read/hung-{number}", vm=fleet.vms[0]))
+
+    fleet.run(6.0, (40.0, read))
+    fleet.run(7.0)
+    assert not [request for request in requests if request.status == 503]
--- a/src/galenaferry/relay/tests/test_reach.py
+++ b/src/galenaferry/relay/tests/test_reach.py
@@ -99,9 +99,9 @@
     assert choose([]) is None
 
 
-def test_a_vm_that_failed_is_left_out_for_some_time():
+def test_a_vm_that_could_not_be_reached_is_left_out_for_some_time():
     choice = RelayVms()
-    choice.on_failure(NEAR.address, 0.0)
+    choice.on_unreachable(NEAR.address, 0.0)
     assert choose([NEAR, FAR], choice=choice, now=EXCLUDED_MS - 1.0) == FAR
     assert choose([NEAR, FAR], choice=choice, now=EXCLUDED_MS) == NEAR
 
