Leave served requests of disturbed VMs out of the soak's shares like failed ones

Cause: while VMs are cut off, requests at VMs that another fault had hit were left out only where they failed, so that the share of the others came out too high. The new test fails before and passes now. Change: such requests count on neither side. Bounds are as they were; where only the others' successes were counted, the check now asks for less, where the cut VM's were, for more.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -128,10 +128,12 @@
 
     def _count_in_cut(self, request: str, status: int) -> None:
         cuts = self._record.timing.cuts
-        if cuts is not None and status == 200:
-            cuts.on_served(request)
-        elif cuts is not None and self._record.timing.is_vm_disturbed(request):
+        if cuts is None:
+            return
+        if self._record.timing.is_vm_disturbed(request):
             cuts.on_excused(request)
+        elif status == 200:
+            cuts.on_served(request)
 
     def _check_response(self, request: str, connection: ClientConnection) -> None:
         head = connection.head
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -143,3 +143,39 @@
     with pytest.raises(ConnectionResetError):
         caller.recv(100)
     caller.close()
+
+
+class RecordingCuts:
+    def __init__(self):
+        self.calls = []
+
+    def on_sent(self, request, vm, now, is_in_touch):
+        return
+
+    def on_served(self, request):
+        self.calls.append("served")
+
+    def on_excused(self, request):
+        self.calls.append("excused")
+
+
+@pytest.mark.parametrize(
+    ("is_disturbed", "expected"), [(True, "excused"), (False, "served")]
+)
+def test_served_requests_of_disturbed_vms_are_left_out_like_failed_ones(
+    is_disturbed, expected
+):
+    loop, record = Loop(), ExecutionRecord()
+    server = ScriptedServer(loop, lambda data: success(parse_request_id(data)))
+    record.timing.cuts = RecordingCuts()
+    if is_disturbed:
+        record.timing.on_vm_fault(server.address, loop.clock.now(), 60_000.0)
+    callers = Callers(loop, [server.address], record, seed=1)
+    callers.send_request()
+    for _ in range(20):
+        loop.poll(1.0)
+    assert record.timing.cuts.calls == [expected]
+
+
+def success(request):
+    return response(200, request, expected_body(request))
