Forget in the soak what an instance announced when it crashes

An announcement is of one start of an instance (placing/announcements.py, test_an_instance_that_started_again_is_used); on the users' platform a new start has a new id. Change: announcements, limits too, are forgotten with a crash; a new one counts as before.

--- a/soak/run.py
+++ b/soak/run.py
@@ -256,6 +256,7 @@
         """Bring the instance back, under the same id, after some time."""
         proxy = self.proxy_by_name[instance.name]
         proxy.go_down()
+        self.record.timing.on_instance_crash(instance.name)
 
         def restart() -> None:
             instance.born += 1
--- a/soak/tests/test_timing.py
+++ b/soak/tests/test_timing.py
@@ -176,3 +176,22 @@
     assert not timing.is_in_touch(VM, 10_000.0)
     assert not timing.is_in_touch(VM, disturbed_until)
     assert timing.is_in_touch(VM, disturbed_until + 1.0)
+
+
+TOLD_OF_LEAVING = (
+    ("on_request_sent", "q1", VM, 1_000.0),
+    ("on_execution", "q1", "i-1", "one", 1_010.0),
+    ("on_answer_passed_on", "q1", False, True, 1_020.0),
+)
+RUNS_AFTER_DRAIN_TIMEOUT = (
+    ("on_request_sent", "q2", VM, 3_100.0),
+    ("on_execution", "q2", "i-1", "one", 3_110.0),
+)
+
+
+def test_what_an_instance_announced_before_it_crashed_does_not_bind_for_its_next_start():
+    assert findings_of(*TOLD_OF_LEAVING, *RUNS_AFTER_DRAIN_TIMEOUT)
+    crash = "on_instance_crash", "i-1"
+    assert not findings_of(*TOLD_OF_LEAVING, crash, *RUNS_AFTER_DRAIN_TIMEOUT)
+    told_again = tuple((name, "q3", *rest) for name, _, *rest in TOLD_OF_LEAVING)
+    assert findings_of(crash, *told_again, *RUNS_AFTER_DRAIN_TIMEOUT)
--- a/soak/timing.py
+++ b/soak/timing.py
@@ -127,6 +127,15 @@
         self._fault_spans_by_vm.setdefault(vm, []).append(span)
         self._forget_announcements_to(vm)
 
+    def on_instance_crash(self, instance: str) -> None:
+        """Forget what an instance announced; started again, it has announced nothing.
+
+        VMs tell its starts apart by its row's ``born``.
+        """
+        for key in [key for key in self._leaving_told_at if key[1] == instance]:
+            del self._leaving_told_at[key]
+        self.on_limit_disturbed(instance)
+
     def on_limit_disturbed(self, instance: str) -> None:
         """Check the limit of an instance anew: it ended, or its link has a fault."""
         self._named_limit_by_instance.pop(instance, None)
