Use no instance whose row went around read failures while others are left

Class: trouble of a few VMs taken for trouble of the store. Ruled out: late news (all 36 VMs logged the removal within 40 ms). Also weighed: not counting failures while other readers work; in an outage where reads hang, other readers seem to work for seconds, so that live instances would be dropped. Change: such instances are not used until they are listed again or their grace period ends, as long as they are three tenths of their service or less; more are used as before, since a service that lost them in an outage needs them.

--- a/src/galenaferry/discovery/registry.py
+++ b/src/galenaferry/discovery/registry.py
@@ -2,7 +2,9 @@
 
 A row that disappears during an outage of the store or shortly after may have
 expired only because its instance could not renew it. Such an instance is kept for a
-grace period in which a live instance would be listed again.
+grace period in which a live instance would be listed again. It may also have left,
+since the reads of a few VMs can fail while the store works: as long as a service has
+enough others, it does without.
 
 After the store was restored from an older copy, its rows may be those of instances that
 have left since, or are leaving. An instance that announced its end does not take it
@@ -10,6 +12,7 @@
 removed counts again once its instance has reported since.
 """
 
+from collections import Counter
 from typing import Final, NamedTuple, TypeVar
 
 from ..backends.messages import Instance
@@ -20,6 +23,9 @@
 RELIST_GRACE_MS: Final = 2_300.0
 """Grace period. Live instances are listed again within two seconds of the end of an
 outage."""
+MAX_UNUSED_SHARE: Final = 0.3
+"""Share of a service's instances that are not used during their grace period. If there
+are more, the store itself was away, and the service needs them."""
 MAX_DEPARTED: Final = 4_000
 """Number of departed instances whose names are kept, those of some hours."""
 
@@ -84,7 +90,28 @@
         for key, expires_at in list(self._expires_at_by_key.items()):
             if expires_at <= now:
                 self._forget(key)
-        return tuple(self._instance_by_key.values())
+        unused_keys = self._unused_keys()
+        return tuple(
+            instance
+            for key, instance in self._instance_by_key.items()
+            if key not in unused_keys
+        )
+
+    def _unused_keys(self) -> set[str]:
+        """Return the instances in their grace period that their services can spare."""
+        if not self._expires_at_by_key:
+            return set()
+        count_by_service = Counter(i.service for i in self._instance_by_key.values())
+        keys_by_service: dict[str, set[str]] = {}
+        for key in self._expires_at_by_key:
+            service = self._instance_by_key[key].service
+            keys_by_service.setdefault(service, set()).add(key)
+        return {
+            key
+            for service, keys in keys_by_service.items()
+            if len(keys) <= MAX_UNUSED_SHARE * count_by_service[service]
+            for key in keys
+        }
 
     def _forget(self, key: str) -> None:
         """Remove an instance that has left, and remember its latest report."""
--- a/src/galenaferry/discovery/tests/test_registry.py
+++ b/src/galenaferry/discovery/tests/test_registry.py
@@ -78,3 +78,29 @@
     registry.remove("i-1", StoreAvailability(True, failed_at=0.0), 0.0)
     assert registry.instances(RELIST_GRACE_MS) == ()
     assert not registry.put("i-1", INSTANCE._replace(sequence=5))
+
+
+SHORTLY_AFTER_OUTAGE = StoreAvailability(False, failed_at=-500.0)
+
+
+def make_large_registry(removed):
+    registry = InstanceRegistry()
+    for number in range(10):
+        registry.put(f"i-{number}", INSTANCE._replace(id=f"i-{number}"))
+    for number in range(removed):
+        registry.remove(f"i-{number}", SHORTLY_AFTER_OUTAGE, 0.0)
+    return registry
+
+
+def test_instances_that_left_while_a_few_vms_failed_to_read_are_not_used_any_more():
+    registry = make_large_registry(removed=3)
+    assert {i.id for i in registry.instances(0.0)} == {f"i-{n}" for n in range(3, 10)}
+    registry.put("i-0", INSTANCE._replace(id="i-0"))
+    assert len(registry.instances(1.0)) == 8
+    assert len(registry.instances(RELIST_GRACE_MS)) == 8
+
+
+def test_instances_whose_rows_expired_in_an_outage_are_used_if_they_are_many():
+    registry = make_large_registry(removed=4)
+    assert len(registry.instances(RELIST_GRACE_MS - 1.0)) == 10
+    assert len(registry.instances(RELIST_GRACE_MS)) == 6
