--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: venv test demo demo-check soak soak-check bench bench-check capacity format
+.PHONY: venv test demo demo-check soak soak-check soak-failed bench bench-check capacity format
 
 VENV := .venv
 PYTHON := $(VENV)/bin/python
@@ -32,6 +32,10 @@
 soak: venv
 	$(PYTHON) -m soak --seed 1 --seeds 50 --seconds 15 --vms 4
 
+soak-failed: venv
+	for seed in $$(awk '/^[0-9]/ {print $$1}' soak/failed-seeds.txt); do \
+		$(PYTHON) -m soak --seed $$seed --seconds 15 --vms 4 || exit 1; done
+
 bench: venv
 	$(PYTHON) benches/latency.py
 	$(PYTHON) benches/parsing.py
