Log and count what tells the causes of own 4xx apart

Change: counter refusals by status and reason (bounded), gauge configuration.behind, log fields host, target, configuration, is_configuration_behind; failed fetches name the VM and the bytes received.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -150,6 +150,8 @@
         self._behind_since: Millis | None = None
         self._timer: Timer | None = None
         self.version = NO_VERSION
+        # Newest version of this table that another VM has told of.
+        self._newest_heard = NO_VERSION
         # Version of the latest result of this VM's own reads.
         self._read_version = NO_VERSION
         self._error_count = 0
@@ -166,6 +168,11 @@
         """Whether the table was read at least once, from the store or another VM."""
         return self.version > NO_VERSION
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether another VM has told of changes that this copy lacks."""
+        return self._newest_heard > self.version
+
     @property
     def is_outage_confirmed(self) -> bool:
         """Whether the store itself seems to be away, and not only a connection to it.
@@ -200,6 +207,7 @@
 
     def on_peer_version(self, address: str, version: StoreVersion) -> None:
         """Fetch from another VM if its version stays newer than this VM's."""
+        self._newest_heard = max(self._newest_heard, version)
         if version <= self.version:
             self._behind_since = None
             return
@@ -223,6 +231,7 @@
         A VM that reads the table itself fetches only if its read is late.
         """
         now = self._reader_seen_at = self._loop.clock.now()
+        self._newest_heard = max(self._newest_heard, notice.version)
         if notice.failed_ago < NEVER_FAILED_MS:
             self.failed_at = max(self.failed_at or 0.0, now - notice.failed_ago)
         if notice.version <= self.version:
@@ -340,14 +349,22 @@
             return
         self._is_fetching = True
         table = self._settings.table
-        self._fetch_from_peer(address, table, self.version, self._on_peer_update)
+        self._fetch_from_peer(
+            address,
+            table,
+            self.version,
+            lambda result: self._on_peer_update(address, result),
+        )
 
-    def _on_peer_update(self, result: Result[TableUpdate, TableError]) -> None:
+    def _on_peer_update(
+        self, address: str, result: Result[TableUpdate, TableError]
+    ) -> None:
         self._is_fetching = False
         if isinstance(result, Err):
             log.warning(
                 "fetching the table from another VM failed",
                 table=self._settings.table,
+                vm=address,
                 error=result.err_value.text,
             )
             if self._settings.is_shared and not self._is_reading:
@@ -359,6 +376,7 @@
         log.info(
             "table updated from another VM",
             table=self._settings.table,
+            vm=address,
             version=update.version,
             had=self.version,
         )
--- a/src/galenaferry/metrics/registry.py
+++ b/src/galenaferry/metrics/registry.py
@@ -67,12 +67,17 @@
     def add_request_counters(self, counters: RequestCounters) -> None:
         """Add all counters of request handling."""
         for field in RequestCounters.__dataclass_fields__:
-            if field == "by_status":
+            if field.startswith("by_"):
                 continue
             self.add_counter(f"requests.{field}", "", _counter_reader(counters, field))
         self._meter.create_observable_counter(
             "answers", [lambda options: _by_status(counters)], description="by status"
         )
+        self._meter.create_observable_counter(
+            "refusals",
+            [lambda options: _by_refusal(counters)],
+            description="generated answers by status and reason",
+        )
 
     def collect(self) -> Any:
         """Return the current values as OpenTelemetry JSON data."""
@@ -87,3 +92,8 @@
 def _by_status(counters: RequestCounters) -> Iterable[Observation]:
     for status, count in counters.by_status.items():
         yield Observation(count, {"status": status})
+
+
+def _by_refusal(counters: RequestCounters) -> Iterable[Observation]:
+    for (status, reason), count in counters.by_refusal.items():
+        yield Observation(count, {"status": status, "reason": reason})
--- a/src/galenaferry/network/fetch.py
+++ b/src/galenaferry/network/fetch.py
@@ -123,7 +123,8 @@
         self._finish(Ok(FetchResponse(self._head.status, self._head.headers, body)))
 
     def _on_timeout(self) -> None:
-        self._fail(f"no answer within {self._request.timeout:.0f} ms")
+        timeout = self._request.timeout
+        self._fail(f"no answer within {timeout:.0f} ms, {self._size} bytes received")
 
     def _fail(self, text: str) -> None:
         self._finish(Err(FetchError(text, self._stream.bytes_sent > 0)))
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -342,6 +342,7 @@
         now = self.loop.clock.now
         gauges = Gauges(
             configuration_version=lambda: self.routes.version,
+            configuration_behind=lambda: float(self.tables.is_configuration_behind),
             instances_version=lambda: self.tables.instances.version.counter,
             is_store_away=lambda: float(self.tables.instances.is_store_unavailable),
             live_members=lambda: len(self.table.live(now())),
@@ -364,7 +365,9 @@
             )
         now = self.loop.clock.now()
         self._metrics.record_request(summary, now)
-        fields = summary.log_fields(now)
+        fields = summary.log_fields(now) | {"configuration": self.routes.version}
+        if summary.is_rejection:
+            fields["is_configuration_behind"] = self.tables.is_configuration_behind
         request_log.info(
             "request", is_minor=summary.is_single_attempt_success, **fields
         )
--- a/src/galenaferry/node/configuration.py
+++ b/src/galenaferry/node/configuration.py
@@ -114,9 +114,16 @@
         self._version_in_force = version_in_force
         self._on_rows = on_rows
         self._is_pending = False
+        self._newest_heard = 0
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether another VM has a newer version in force, as far as is known."""
+        return self._newest_heard > self._version_in_force()
 
     def on_peer_version(self, address: str, version: int) -> None:
         """Handle the version that the VM at ``address`` has in force."""
+        self._newest_heard = max(self._newest_heard, version)
         if version <= self._version_in_force() or self._is_pending:
             return
         self._is_pending = True
@@ -128,13 +135,19 @@
         if version <= self._version_in_force():
             self._is_pending = False
             return
-        self._fetch_from_peer(address, IN_FORCE_TABLE, NO_VERSION, self._on_result)
-
-    def _on_result(self, result: Result[TableUpdate, TableError]) -> None:
+        self._fetch_from_peer(
+            address,
+            IN_FORCE_TABLE,
+            NO_VERSION,
+            lambda result: self._on_result(address, result),
+        )
+
+    def _on_result(self, address: str, result: Result[TableUpdate, TableError]) -> None:
         self._is_pending = False
         if isinstance(result, Err):
             log.warning(
                 "fetching the configuration from another VM failed",
+                vm=address,
                 error=result.err_value.text,
             )
             return
--- a/src/galenaferry/node/metrics.py
+++ b/src/galenaferry/node/metrics.py
@@ -32,6 +32,7 @@
     """
 
     configuration_version: Callable[[], float]
+    configuration_behind: Callable[[], float]
     instances_version: Callable[[], float]
     is_store_away: Callable[[], float]
     live_members: Callable[[], float]
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -147,6 +147,11 @@
         """Whether this VM's reads from the store fail."""
         return any(follower.is_store_unavailable for follower in self.followers)
 
+    @property
+    def is_configuration_behind(self) -> bool:
+        """Whether this VM knows of a configuration that it has not got yet."""
+        return self.configuration.is_behind or self._peer_configurations.is_behind
+
     @property
     def refreshes(self) -> tuple[Callable[[], None], ...]:
         """Functions that read the tables again."""
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -102,7 +102,7 @@
         self._request_id = head.header(context.settings.names.request_id) or (
             b"%032x" % context.random.getrandbits(128)
         )
-        self._summary = RequestSummary(self._request_id, context.loop.clock.now())
+        self._summary = RequestSummary(self._request_id, context.loop.clock.now(), head)
 
     @property
     def _attempt_started_at(self) -> Millis:
@@ -233,7 +233,7 @@
         is_503_only_for_not_run = self._context.settings.is_503_only_for_not_run
         if is_503_only_for_not_run and status == 503 and ran is not Execution.NOT_RUN:
             status = 502
-        self._context.counters.count_unanswered(ran)
+        self._context.counters.count_refusal(status, reason, ran)
         self._summary.set_outcome(status, reason, ran)
         self._answer_locally(
             make_refusal(status, reason, ran, self._id_header, retry_after)
--- a/src/galenaferry/requests/messages.py
+++ b/src/galenaferry/requests/messages.py
@@ -15,6 +15,9 @@
 IDEMPOTENCY_KEY_HEADER: Final = b"idempotency-key"
 REPLAYED_HEADER: Final = b"galenaferry-replayed"
 RETRY_AFTER_HEADER: Final = b"retry-after"
+MAX_REFUSAL_REASONS: Final = 100
+"""Largest number of pairs of status and reason that are counted separately."""
+OTHER_REASON: Final = "other"
 
 
 @dataclass(slots=True)
@@ -45,6 +48,8 @@
         Entries into a wait queue.
     by_status : dict of int by int
         Answers by status.
+    by_refusal : dict of int by (int, str)
+        Generated answers by status and reason.
     """
 
     received: int = 0
@@ -59,6 +64,7 @@
     framing_errors: int = 0
     queued: int = 0
     by_status: dict[int, int] = field(default_factory=dict)
+    by_refusal: dict[tuple[int, str], int] = field(default_factory=dict)
 
     def count_unanswered(self, ran: Execution) -> None:
         """Count a request that was not executed, or for which that is unknown."""
@@ -67,6 +73,14 @@
         else:
             self.ended_unknown += 1
 
+    def count_refusal(self, status: int, reason: str, ran: Execution) -> None:
+        """Count a generated answer."""
+        self.count_unanswered(ran)
+        key = (status, reason)
+        if key not in self.by_refusal and len(self.by_refusal) >= MAX_REFUSAL_REASONS:
+            key = (status, OTHER_REASON)
+        self.by_refusal[key] = self.by_refusal.get(key, 0) + 1
+
     def count_status(self, status: int) -> None:
         """Count an answer by its status."""
         self.by_status[status] = self.by_status.get(status, 0) + 1
--- a/src/galenaferry/requests/summary.py
+++ b/src/galenaferry/requests/summary.py
@@ -15,10 +15,13 @@
 )
 from ..backends.messages import Instance
 from ..clock import Millis
+from ..framing.messages import RequestHead
 
 UNDELIVERED: Final = (NotConnected, BrokenUnsent, Misdirected, RelayRefused)
 """Outcomes of attempts that reached no instance, or another one at the address of an
 instance that has ended."""
+MAX_LOGGED_TARGET: Final = 200
+"""Bytes of a target in a log line."""
 LOST_WHILE_RUNNING: Final = (BrokenSent, BrokenHeld, BrokenResponse)
 """Outcomes of attempts whose connection may have ended with its instance."""
 
@@ -36,12 +39,14 @@
     request_id : bytes
     started_at : float
         Monotonic time in milliseconds.
+    head : RequestHead
     """
 
     __slots__ = (
         "_attempts",
         "buffered_body_bytes",
         "fingerprint",
+        "head",
         "ran",
         "reason",
         "request_id",
@@ -51,9 +56,12 @@
         "status",
     )
 
-    def __init__(self, request_id: bytes, started_at: Millis) -> None:
+    def __init__(
+        self, request_id: bytes, started_at: Millis, head: RequestHead
+    ) -> None:
         self.request_id = request_id
         self.started_at = started_at
+        self.head = head
         self.route = ""
         self.status = 0
         self.reason = ""
@@ -82,6 +90,12 @@
             return "refused" if self.ran is Execution.NOT_RUN else "unknown"
         return "answered" if self.status < 500 else "failed"
 
+    @property
+    def is_rejection(self) -> bool:
+        """Whether the caller was told by this VM that the request is wrong."""
+        is_client_error = 400 <= self.status < 500
+        return is_client_error and bool(self.reason)
+
     def add_attempt(
         self, instance: Instance, outcome: AttemptOutcome, took: Millis
     ) -> None:
@@ -106,6 +120,9 @@
             "took_ms": int(now - self.started_at),
             "attempts": self._attempts,
         }
+        if self.is_rejection:
+            fields["host"] = (self.head.header(b"host") or b"").decode("latin-1")
+            fields["target"] = self.head.target[:MAX_LOGGED_TARGET].decode("latin-1")
         if self.fingerprint:
             fields["fingerprint"] = self.fingerprint.hex()
         return fields
