--- /dev/null
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -0,0 +1,260 @@
+"""VMs that follow the configuration over slow links, on a fake clock.
+
+The VMs use the real client of the store and the real transfer between VMs. Heartbeats
+and notices are calls with a delay.
+"""
+
+import base64
+import json
+from random import Random
+from urllib.parse import parse_qs, urlsplit
+
+from galenaferry.clock import FakeClock
+from galenaferry.discovery.readers import is_reader, rank_of
+from galenaferry.membership.messages import Freshness, Heartbeat, Member
+from galenaferry.network import fetch as fetch_module
+from galenaferry.network.json_server import JsonRequest
+from galenaferry.network.loop import Loop
+from galenaferry.node.tables import FleetAccess, TableListeners, Tables
+from galenaferry.node.tests.simulated_network import STEP_MS, Link, Network
+from galenaferry.platform.__main__ import make_adapter
+from galenaferry.platform.settings import parse_node_file
+from galenaferry.platform.tests.builders import NODE_FILE, configuration_json
+from galenaferry.routing.hosts import HostRouteTable
+
+MESSAGE_DELAY_MS = 6.0
+HEARTBEAT_MS = 1_000.0
+HEARTBEAT_FANOUT = 2
+STORE_ADDRESS = ("10.200.1.7", 8384)
+STORE_BYTES_PER_MS = 500_000.0
+
+
+def make_configuration(version, route_count, random):
+    """Return a configuration whose routes have random names."""
+    routes = [
+        {
+            "name": f"r-{random.getrandbits(36):x}",
+            "host": f"{random.getrandbits(28):x}.example",
+            "prefix": f"/{random.getrandbits(36):x}/{number}/",
+            "kind": "non_idempotent",
+            "timeoutMs": 5000,
+            "targetLatencyMs": 2641,
+            "priority": 1,
+            "service": "s",
+            "maxAttempts": 2,
+        }
+        for number in range(route_count)
+    ]
+    return configuration_json(version=f"{version:08x}", routes=routes)
+
+
+class FakeStore:
+    """Store with one configuration, which turns some hosts away or is silent to them.
+
+    ``silent`` and ``refused`` hold hosts.
+    """
+
+    def __init__(self, loop):
+        self._loop = loop
+        self.version = 0
+        self.value = b""
+        self.changed_at = 0
+        self.silent = set()
+        self.refused = set()
+        self._waiting = []
+        self.calls = 0
+
+    def put(self, value):
+        self.version += 1
+        self.changed_at = self.version
+        self.value = value
+        waiting, self._waiting = self._waiting, []
+        for answer in waiting:
+            answer()
+
+    def server_for(self, host):
+        def serve(request, respond):
+            self.calls += 1
+            if host in self.refused:
+                respond(503, b"{}")
+                return
+            if host in self.silent:
+                return
+            url = urlsplit(request.target)
+            query = {name: values[0] for name, values in parse_qs(url.query).items()}
+            self._answer(host, url.path, query, respond)
+
+        return serve
+
+    def _answer(self, host, path, query, respond):
+        after = int(query.get("after", 0))
+        is_configuration = query["table"] == "op"
+        if path == "/rows-feed" and not (is_configuration and self.changed_at > after):
+            is_answered = [False]
+
+            def answer():
+                if not is_answered[0] and host not in self.silent:
+                    is_answered[0] = True
+                    rows = self._rows(is_configuration and self.changed_at > after)
+                    respond(200, rows)
+
+            self._loop.after(float(query["waitMs"]), answer)
+            if is_configuration:
+                self._waiting.append(answer)
+            return
+        respond(200, self._rows(is_configuration))
+
+    def _rows(self, has_row):
+        rows = []
+        if has_row:
+            text = base64.b64encode(self.value).decode()
+            rows = [{"key": "config", "value": text, "ver": self.changed_at}]
+        return json.dumps(
+            {"rows": rows, "ver": self.version, "hasMore": False, "nowMs": 0}
+        ).encode()
+
+
+class HostLoop:
+    """The loop of the fleet, which also tells whose connections are made on it."""
+
+    def __init__(self, loop, host):
+        self._loop = loop
+        self.host = host
+
+    def __getattr__(self, name):
+        return getattr(self._loop, name)
+
+
+class FollowingVm:
+    """The tables of one VM."""
+
+    def __init__(self, fleet, number, zone):
+        self.fleet = fleet
+        self.host = f"10.0.{number}.1"
+        self.address = f"{self.host}:7200"
+        self.member = Member(self.address, 1, 1, zone, "r", False, 0)
+        settings = parse_node_file("local.toml", NODE_FILE).unwrap()
+        self.routes = HostRouteTable(20, Random(number))
+        self.applied_at = {}
+        loop = HostLoop(fleet.loop, self.host)
+        self.tables = Tables(
+            loop,
+            make_adapter(settings, loop),
+            self.routes,
+            FleetAccess(self._is_designated_reader, self._send_notice),
+            TableListeners(lambda rows: None, self._on_configuration, lambda: None),
+            Random(number),
+            is_first_start=False,
+        )
+
+    def respond(self, request, respond):
+        url = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        answer = self.tables.respond_to_peer(
+            JsonRequest(request.method, url.path, query, {}, None, request.body)
+        )
+        respond(answer.status, json.dumps(answer.body).encode())
+
+    def _is_designated_reader(self):
+        return is_reader(self.member, [vm.member for vm in self.fleet.vms])
+
+    def _send_notice(self, notice):
+        for vm in self.fleet.vms:
+            is_near = vm.member.zone == self.member.zone
+            if vm is not self and (is_near or vm in self.fleet.hubs):
+                self.fleet.deliver(lambda vm=vm: vm.on_notice(self, notice))
+
+    def on_notice(self, sender, notice):
+        self.tables.on_notice(sender.address, notice)
+
+    def send_heartbeats(self):
+        is_down = self.tables.is_store_unavailable
+        self.member = self.member._replace(is_platform_down=is_down)
+        heartbeat = Heartbeat(
+            self.tables.configuration.last_change_version.encode(),
+            "",
+            Freshness(0),
+            self.tables.instances.last_change_version.encode(),
+            (),
+            self.routes.version,
+        )
+        others = [vm for vm in self.fleet.vms if vm is not self]
+        for vm in self.fleet.random.sample(others, HEARTBEAT_FANOUT):
+            self.fleet.deliver(
+                lambda vm=vm: vm.tables.on_heartbeat(self.address, heartbeat)
+            )
+
+    def _on_configuration(self):
+        self.applied_at.setdefault(self.routes.version, self.fleet.clock.now())
+
+
+class ConfigurationFleet:
+    """VMs of some zones with links of ``link_mbps``; the calls of the test are steps.
+
+    ``loss`` is the share of the messages between VMs that are lost.
+    """
+
+    def __init__(self, monkeypatch, vms=24, zones=2, link_mbps=5.0, loss=0.0, seed=1):
+        self.random = Random(seed)
+        self.clock = FakeClock(100_000.0)
+        self.loop = Loop(self.clock)
+        self.loss = loss
+        self.network = Network(self.loop, self.random)
+        self.store = FakeStore(self.loop)
+        self.network.link_by_host[STORE_ADDRESS[0]] = Link(STORE_BYTES_PER_MS)
+        monkeypatch.setattr(fetch_module, "connect", self._connect)
+        self.vms = []
+        for number in range(vms):
+            vm = FollowingVm(self, number, f"zone-{number % zones}")
+            self.vms.append(vm)
+            self.network.link_by_host[vm.host] = Link(link_mbps * 125.0)
+            self.network.server_by_address[vm.host, 7200] = vm.respond
+        self.hubs = [
+            vm
+            for zone in {vm.member.zone for vm in self.vms}
+            for vm in sorted(self.in_zone(zone), key=lambda vm: rank_of(vm.address))[:2]
+        ]
+        for vm in self.vms:
+            vm.tables.begin()
+            self._schedule_heartbeats(vm)
+
+    def in_zone(self, zone):
+        return [vm for vm in self.vms if vm.member.zone == zone]
+
+    def _connect(self, loop, address, owner):
+        server = self.network.server_by_address.get(address)
+        if address == STORE_ADDRESS:
+            server = self.store.server_for(loop.host)
+        return self.network.connect(loop.host, address[0], server, owner)
+
+    def deliver(self, call):
+        if self.random.random() >= self.loss:
+            self.loop.after(MESSAGE_DELAY_MS, call)
+
+    def _schedule_heartbeats(self, vm):
+        def send():
+            vm.send_heartbeats()
+            self.loop.after(HEARTBEAT_MS, send)
+
+        self.loop.after(HEARTBEAT_MS * self.random.random(), send)
+
+    def run(self, interval):
+        ends_at = self.clock.now() + interval
+        while self.clock.now() < ends_at:
+            self.network.step()
+            self.loop.poll(0.0)
+            self.clock.advance(STEP_MS)
+
+    def change(self, version, route_count):
+        """Write a configuration; return the time of the acknowledgement."""
+        value = make_configuration(version, route_count, self.random)
+        self.store.put(value)
+        return self.clock.now()
+
+    def late(self, version, acked_at, bound):
+        """Return the VMs that did not apply a version within ``bound`` ms."""
+        return [
+            vm.host
+            for vm in self.vms
+            if vm.applied_at.get(version, float("inf")) > acked_at + bound
+        ]
--- /dev/null
+++ b/src/galenaferry/node/tests/test_configuration_fleet.py
@@ -0,0 +1,39 @@
+"""Configurations that reach all VMs of a fleet over slow links."""
+
+import pytest
+
+from galenaferry.node.tests.configuration_fleet import ConfigurationFleet
+
+APPLY_MS = 2_500.0
+"""Time after the acknowledgement in which a configuration must be in force."""
+ROUTES_IN_BULK = 1_400
+
+
+def make_fleet(monkeypatch, **parts):
+    """Return a fleet in which all VMs have a small configuration."""
+    fleet = ConfigurationFleet(monkeypatch, **parts)
+    fleet.change(2, 20)
+    fleet.run(4_000.0)
+    assert fleet.late(2, fleet.clock.now(), 0.0) == []
+    return fleet
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_vms_that_the_store_turns_away_get_a_large_configuration(monkeypatch, seed):
+    fleet = make_fleet(monkeypatch, seed=seed)
+    turned_away = fleet.random.sample(fleet.vms, 8)
+    fleet.store.refused = {vm.host for vm in turned_away}
+    fleet.run(3_000.0)
+    acked_at = fleet.change(5, ROUTES_IN_BULK)
+    fleet.run(APPLY_MS + 3_000.0)
+    assert fleet.late(5, acked_at, APPLY_MS) == []
+
+
+def test_large_configurations_in_quick_succession_are_in_force_in_time(monkeypatch):
+    fleet = make_fleet(monkeypatch)
+    acked_at = {}
+    for version in (5, 8, 12, 16):
+        acked_at[version] = fleet.change(version, ROUTES_IN_BULK + version)
+        fleet.run(1_000.0)
+    fleet.run(APPLY_MS)
+    assert fleet.late(16, acked_at[16], APPLY_MS) == []
