Limit the silence of a transfer instead of its whole time

Cause: a fetch of the configuration was given up 1 s after its start (2 s from the store), however much had come; the next try started from nothing. 374 kB of 1,400 routes take 0.6 s on an idle link of 5 Mbit/s, so beside another transfer or callers' traffic no try could end. Class: a limit on the whole time of a transfer of unbounded size. Change: once the first part has come, only silence (1 s) ends a fetch of a table, at most 15 s in all. Writes keep their limit.

--- a/src/galenaferry/discovery/peer_updates.py
+++ b/src/galenaferry/discovery/peer_updates.py
@@ -21,8 +21,8 @@
 )
 
 TIMEOUT_MS: Final = 1_000.0
-"""Timeout of a fetch: some round trips between the most distant zones and a lost
-packet."""
+"""Longest silence of a VM that is asked: some round trips between the most distant
+zones and a lost packet."""
 PATH_PREFIX: Final = "/tables/"
 MAX_NUMBER: Final = (1 << 63) - 1
 
@@ -73,7 +73,9 @@
     target = (
         f"{PATH_PREFIX}{quote(table, safe='')}?after={after.counter}&era={after.era}"
     )
-    request = FetchRequest((host, int(port)), "GET", target, timeout=timeout)
+    request = FetchRequest(
+        (host, int(port)), "GET", target, timeout=timeout, stall_timeout=timeout
+    )
 
     def finish(result: FetchResult) -> None:
         done(_parse_response(result))
--- a/src/galenaferry/network/fetch.py
+++ b/src/galenaferry/network/fetch.py
@@ -13,13 +13,17 @@
 
 MAX_RESPONSE_BYTES: Final = 67_108_864
 """Maximum size of a response, head included."""
+MAX_TRANSFER_MS: Final[Millis] = 15_000.0
+"""Longest time for a response whose parts keep arriving."""
 
 
 class FetchRequest(NamedTuple):
-    """A request with its whole body.
+    """A request with its whole body; times in milliseconds.
 
-    ``timeout`` limits the time until the whole response is received, in
-    milliseconds.
+    ``timeout`` limits the time until the whole response is received. With a
+    ``stall_timeout`` it limits the time until the first part of the response, and the
+    time between two parts is limited by ``stall_timeout``: a large response on a slow
+    link then takes as long as it needs, up to ``MAX_TRANSFER_MS``.
     """
 
     address: tuple[str, int]
@@ -28,6 +32,7 @@
     headers: tuple[Header, ...] = ()
     body: bytes = b""
     timeout: Millis = 2000.0
+    stall_timeout: Millis | None = None
 
 
 class FetchResponse(NamedTuple):
@@ -78,6 +83,9 @@
         self._body: list[bytes] = []
         self._size = 0
         self._reader = ResponseReader(self, request.method == "HEAD")
+        self._loop = loop
+        self._started_at = loop.clock.now()
+        self._received_at = self._started_at
         self._timer: Timer = loop.after(request.timeout, self._on_timeout)
         self._stream: Stream = connect(loop, request.address, self)
 
@@ -94,6 +102,7 @@
 
     def on_data(self, data: bytes) -> None:
         self._size += len(data)
+        self._received_at = self._loop.clock.now()
         if self._size > MAX_RESPONSE_BYTES:
             self._fail("the answer is too large")
             return
@@ -123,8 +132,17 @@
         self._finish(Ok(FetchResponse(self._head.status, self._head.headers, body)))
 
     def _on_timeout(self) -> None:
-        timeout = self._request.timeout
-        self._fail(f"no answer within {timeout:.0f} ms, {self._size} bytes received")
+        now = self._loop.clock.now()
+        stall_timeout = self._request.stall_timeout
+        if stall_timeout is not None and self._size:
+            ends_at = min(
+                self._received_at + stall_timeout, self._started_at + MAX_TRANSFER_MS
+            )
+            if ends_at > now:
+                self._timer = self._loop.after(ends_at - now, self._on_timeout)
+                return
+        took = now - self._started_at
+        self._fail(f"no answer within {took:.0f} ms, {self._size} bytes received")
 
     def _fail(self, text: str) -> None:
         self._finish(Err(FetchError(text, self._stream.bytes_sent > 0)))
--- a/src/galenaferry/platform/store.py
+++ b/src/galenaferry/platform/store.py
@@ -25,6 +25,8 @@
 
 TIMEOUT_MS: Final = 2_000.0
 """Timeout of a call; the store responds in 4 ms, or 60 times that when it is slow."""
+STALL_TIMEOUT_MS: Final = 1_000.0
+"""Longest silence in the midst of a response."""
 HISTORY_LOST_STATUS: Final = 410
 """Status if the store no longer has all changes since the requested version."""
 ROWS_PER_PAGE: Final = 500
@@ -199,7 +201,13 @@
         target = f"{path}?{urlencode(query)}"
         fetch(
             self._loop,
-            FetchRequest(self._address, "GET", target, timeout=timeout),
+            FetchRequest(
+                self._address,
+                "GET",
+                target,
+                timeout=timeout,
+                stall_timeout=STALL_TIMEOUT_MS,
+            ),
             done,
         )
 
