Ask any VM that has news of a table, and the store if that takes long

Change: a VM remembers which VMs have told of which versions (64 at most), asks a near one, another one 50 ms after a failure, and reads the store as well if that takes 600 ms. A VM that doesn't have the table at all asks the first VM at once. What was ruled out: asking the store first, which sends eight times the bytes over the VM's own link.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -30,6 +30,7 @@
     TableUpdate,
 )
 from .readers import ANNOUNCE_INTERVAL_MS, needs_own_read
+from .sources import PeerSources
 
 LONG_POLL_MS: Final = 2_500.0
 """Time after which the store ends a long poll without changes. A poll whose connection
@@ -48,9 +49,13 @@
 MAX_NOTICE_ROWS: Final = 10
 """Largest number of rows in a notice; at about 250 bytes each they fill two
 packets."""
-NEWS_READ_TIMEOUT_MS: Final = 700.0
-"""Time for a read of changes of which a notice told; a slow store responds in 240 ms.
-Afterwards the next notice, a second later at most, leads to a fetch from a peer."""
+NEWS_READ_DELAY_MS: Final = 600.0
+"""Time in which other VMs should send changes of which a notice told, before the store
+is asked as well."""
+NEWS_READ_MS: Final = 3_000.0
+"""Time for such a read from the store; a large row on a slow link needs a second."""
+PEER_RETRY_MS: Final = 50.0
+"""Delay after a failed fetch before another VM is asked."""
 MAX_NOTICE_BYTES: Final = 8_192
 """Largest size of the rows in a notice. A reader sends it to all VMs of its zone: half
 a megabyte to 58 of them, 0.4 s on a link of 10 Mbit/s."""
@@ -80,9 +85,6 @@
         which further changes accumulate.
     is_shared : bool
         Whether only some VMs read the table and broadcast changes to the others.
-    is_news_read_from_store : bool
-        Whether a VM that hears of changes without their rows reads them from the store,
-        as suits a table with large rows, and not from the VM that told it.
     startup_delay : float
         Time in milliseconds after the start in which the VM does not read a shared
         table itself, as readers tell of it.
@@ -91,7 +93,6 @@
     table: str
     coalescing_delay: Millis
     is_shared: bool = False
-    is_news_read_from_store: bool = False
     startup_delay: Millis = 0.0
 
 
@@ -114,6 +115,8 @@
     on_restored : callable
         Called when the store turns out to have been restored from an older copy,
         after ``on_change``.
+    is_near : callable
+        Whether the VM at an address is in this VM's availability zone.
     """
 
     def __init__(
@@ -127,14 +130,16 @@
         is_designated_reader: Callable[[], bool] = lambda: True,
         broadcast: Callable[[TableNotice], None] = lambda notice: None,
         on_restored: Callable[[], None] = lambda: None,
+        is_near: Callable[[str], bool] = lambda address: True,
     ) -> None:
+        self._sources = PeerSources(is_near, random)
         self._on_restored = on_restored
         self._is_designated_reader = is_designated_reader
         self._broadcast = broadcast
         self._reader_seen_at: Millis = -math.inf
         self._starts_reading_at: Millis = -math.inf
         self._news_read_until: Millis = -math.inf
-        self._has_news_read_failed = False
+        self._is_news_read_due = False
         self._is_reading = False
         self._history = TableHistory()
         self._loop = loop
@@ -147,7 +152,6 @@
         self._read_number = 0
         self._needs_full_read = True
         self._is_fetching = False
-        self._behind_since: Millis | None = None
         self._timer: Timer | None = None
         self.version = NO_VERSION
         # Newest version of this table that another VM has told of.
@@ -207,23 +211,18 @@
 
     def on_peer_version(self, address: str, version: StoreVersion) -> None:
         """Fetch from another VM if its version stays newer than this VM's."""
-        self._newest_heard = max(self._newest_heard, version)
+        self._on_version_heard(address, version)
         if version <= self.version:
-            self._behind_since = None
             return
-        if not self.is_loaded and self.is_store_unavailable:
+        if self.is_loaded:
+            self._loop.after(PEER_FETCH_DELAY_MS, self._fetch_if_behind)
+        else:
             # Nothing can be served until the table is known.
-            self._fetch_if_behind(address, version)
-            return
-        now = self._loop.clock.now()
-        if self._behind_since is None:
-            self._behind_since = now
-            self._loop.after(
-                PEER_FETCH_DELAY_MS, lambda: self._fetch_if_behind(address, version)
-            )
-            return
-        if now - self._behind_since >= PEER_FETCH_DELAY_MS:
-            self._fetch_if_behind(address, version)
+            self._fetch_if_behind()
+
+    def _on_version_heard(self, address: str, version: StoreVersion) -> None:
+        self._newest_heard = max(self._newest_heard, version)
+        self._sources.on_version(address, version)
 
     def on_notice(self, address: str, notice: TableNotice) -> None:
         """Apply a reader's notice, or fetch from the reader what is missing.
@@ -231,7 +230,7 @@
         A VM that reads the table itself fetches only if its read is late.
         """
         now = self._reader_seen_at = self._loop.clock.now()
-        self._newest_heard = max(self._newest_heard, notice.version)
+        self._on_version_heard(address, notice.version)
         if notice.failed_ago < NEVER_FAILED_MS:
             self.failed_at = max(self.failed_at or 0.0, now - notice.failed_ago)
         if notice.version <= self.version:
@@ -239,7 +238,7 @@
         if self._is_reading:
             # The next read may wait for further changes first.
             wait = PEER_FETCH_DELAY_MS + self._settings.coalescing_delay
-            self._loop.after(wait, lambda: self._check_own_read(address, notice))
+            self._loop.after(wait, lambda: self._check_own_read(notice))
         if (
             notice.rows
             and notice.after <= self.version
@@ -247,9 +246,9 @@
         ):
             self._apply(TableUpdate(notice.version, notice.rows, is_snapshot=False))
         elif not self._is_reading:
-            self._catch_up(address, notice.version)
+            self._catch_up()
 
-    def _check_own_read(self, address: str, notice: TableNotice) -> None:
+    def _check_own_read(self, notice: TableNotice) -> None:
         """Replace a read that has missed what another reader's notice told.
 
         Its connection may be dead. As other VMs rely on this one, they are told.
@@ -257,7 +256,7 @@
         if not self._is_reading or self._read_version >= notice.version:
             return
         if self.version < notice.version:
-            self._fetch_if_behind(address, notice.version)
+            self._fetch_if_behind()
             return
         log.warning(
             "the read from the store missed changes; reading again",
@@ -272,15 +271,18 @@
         if self._settings.is_shared and self._is_designated_reader():
             self._broadcast(notice)
 
-    def _catch_up(self, address: str, version: StoreVersion) -> None:
-        """Read news from the store, or from a peer if that has just failed."""
-        if self._settings.is_news_read_from_store and not self._has_news_read_failed:
-            self._news_read_until = self._loop.clock.now() + NEWS_READ_TIMEOUT_MS
-            self._has_news_read_failed = True
+    def _catch_up(self) -> None:
+        """Get news from another VM, and from the store if that takes long."""
+        self._fetch_if_behind()
+        if not self._is_news_read_due:
+            self._is_news_read_due = True
+            self._loop.after(NEWS_READ_DELAY_MS, self._read_news)
+
+    def _read_news(self) -> None:
+        self._is_news_read_due = False
+        if self.is_behind and not self._is_reading:
+            self._news_read_until = self._loop.clock.now() + NEWS_READ_MS
             self._read()
-        else:
-            self._has_news_read_failed = False
-            self._fetch_if_behind(address, version)
 
     def update_since(self, after: StoreVersion) -> TableUpdate:
         """Return the changes after a version, the whole table if that is too old."""
@@ -344,14 +346,17 @@
             self._settings.table,
         )
 
-    def _fetch_if_behind(self, address: str, version: StoreVersion) -> None:
-        if self.version >= version or self._is_fetching:
+    def _fetch_if_behind(self) -> None:
+        """Ask another VM for the changes that this copy lacks, one VM at a time."""
+        if not self.is_behind or self._is_fetching:
+            return
+        address = self._sources.choose(self.version, self._loop.clock.now())
+        if address is None:
             return
         self._is_fetching = True
-        table = self._settings.table
         self._fetch_from_peer(
             address,
-            table,
+            self._settings.table,
             self.version,
             lambda result: self._on_peer_update(address, result),
         )
@@ -367,11 +372,16 @@
                 vm=address,
                 error=result.err_value.text,
             )
+            self._sources.on_failure(address, self._loop.clock.now())
+            self._loop.after(PEER_RETRY_MS, self._fetch_if_behind)
             if self._settings.is_shared and not self._is_reading:
                 self._read()
             return
         update = result.ok_value
+        # The VM may have had less than it told, as after a restore of the store.
+        self._sources.on_version(address, update.version)
         if update.version <= self.version:
+            self._loop.after(PEER_RETRY_MS, self._fetch_if_behind)
             return
         log.info(
             "table updated from another VM",
@@ -380,7 +390,6 @@
             version=update.version,
             had=self.version,
         )
-        self._behind_since = None
         has_changed = self._apply(update)
         if has_changed and self._is_reading:
             self._forward(self._make_notice(update.version, ()))
@@ -431,7 +440,6 @@
                 # The notice starts at ``last_change_version``, which ``_apply`` sets.
                 self._broadcast_update(update)
                 self._apply(update)
-                self._has_news_read_failed = False
                 self._news_read_until = -math.inf
                 if not self._needs_own_read():
                     # It was read once for news of it.
--- a/src/galenaferry/membership/state.py
+++ b/src/galenaferry/membership/state.py
@@ -183,6 +183,11 @@
         """Return all known members except this VM, live or not."""
         return list(self._member_by_address.values())
 
+    def is_in_own_zone(self, address: str) -> bool:
+        """Whether the member at an address is known to be in this VM's zone."""
+        member = self._member_by_address.get(address)
+        return member is not None and member.zone == self.me.zone
+
     def random_addresses(self, count: int) -> list[str]:
         """Return the addresses of up to ``count`` random members, live or not."""
         addresses = list(self._member_by_address)
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -147,7 +147,11 @@
             loop,
             adapter,
             self.routes,
-            FleetAccess(self._is_designated_reader, self._broadcasts.send_notice),
+            FleetAccess(
+                self._is_designated_reader,
+                self._broadcasts.send_notice,
+                self.table.is_in_own_zone,
+            ),
             TableListeners(
                 self._on_instances,
                 self._release_startup_queue_if_ready,
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -35,12 +35,14 @@
 class FleetAccess(NamedTuple):
     """How the tables reach the other VMs.
 
-    ``is_designated_reader`` says whether this VM reads the tables for its zone, and
-    ``send_notice`` sends news of a table to that zone.
+    ``is_designated_reader`` says whether this VM reads the tables for its zone,
+    ``send_notice`` sends news of a table to that zone, and ``is_near`` says whether the
+    VM at an address belongs to it.
     """
 
     is_designated_reader: Callable[[], bool]
     send_notice: Callable[[TableNotice], None]
+    is_near: Callable[[str], bool]
 
 
 class TableListeners(NamedTuple):
@@ -97,7 +99,6 @@
                 adapter.tables.configuration,
                 CONFIGURATION_COALESCING_MS,
                 is_shared=True,
-                is_news_read_from_store=True,
                 startup_delay=startup_delay,
             ),
             adapter.store,
@@ -107,6 +108,7 @@
             fleet.is_designated_reader,
             fleet.send_notice,
             listeners.on_restored,
+            fleet.is_near,
         )
         self.instances = TableFollower(
             loop,
@@ -122,6 +124,7 @@
             instance_updater.on_change,
             fleet.is_designated_reader,
             fleet.send_notice,
+            is_near=fleet.is_near,
         )
         self._peer_configurations = PeerConfigurations(
             loop,
