Read a table once again for news that many readers tell

Change: a pending read that returns changes after a copy with the version is left alone. Evidence: the new test (eight notices of one version) saw 5 reads before and sees 1.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -156,8 +156,10 @@
         self.version = NO_VERSION
         # Newest version of this table that another VM has told of.
         self._newest_heard = NO_VERSION
-        # Version of the latest result of this VM's own reads.
+        # Version of the latest result of this VM's own reads, and the one after which
+        # the pending read returns changes.
         self._read_version = NO_VERSION
+        self._reads_after = NO_VERSION
         self._error_count = 0
         # The store's version grows with changes of any table. This one grows only with
         # changes of this table; it is announced, so that other VMs fetch only then.
@@ -255,6 +257,8 @@
         """
         if not self._is_reading or self._read_version >= notice.version:
             return
+        if self._reads_after >= notice.version:
+            return
         if self.version < notice.version:
             self._fetch_if_behind()
             return
@@ -410,6 +414,7 @@
             if read_number == self._read_number:
                 self._on_result(result)
 
+        self._reads_after = self.version
         table = self._settings.table
         if self._needs_full_read:
             self._source.read_all(table, done)
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -390,3 +390,18 @@
     bench.run_for(300.0)
     assert len(bench.source.calls) == calls + 1
     assert [n.version for n in bench.notices if n.rows == TWO] == [at(12)]
+
+
+def test_a_reader_reads_once_again_for_news_that_many_readers_tell():
+    # Each of several notices repeated the read, every few milliseconds.
+    bench = make_reader()
+    calls = len(bench.source.calls)
+    for number in range(1, 9):
+        notice = TableNotice(at(12), at(12), ())
+        bench.follower.on_notice(f"10.0.{number}.1:7000", notice)
+        bench.run_for(20.0)
+    bench.run_for(150.0)
+    bench.peer_fetches[0][1](Ok(table_update(12, config=b"two")))
+    bench.run_for(500.0)
+    assert len(bench.source.calls) == calls + 1
+    assert bench.source.calls[-1][:2] == ("changes", at(12))
