Use a complete read though another one has replaced it

Cause: a read that was replaced or no longer needed went on to the end on the VM's link, and its result was thrown away, while the same rows were fetched again. Change: its result is applied if it is newer than the copy; an older or failed one changes nothing.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import Final, NamedTuple
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from ..clock import Millis
 from ..logs import logger
@@ -413,6 +413,8 @@
         def done(result: Result[TableUpdate | HistoryLost, TableError]) -> None:
             if read_number == self._read_number:
                 self._on_result(result)
+            else:
+                self._on_late_result(result)
 
         self._reads_after = self.version
         table = self._settings.table
@@ -455,6 +457,17 @@
                     delay = max(delay, ROLE_DELAY_MS)
                 self._schedule_read(delay)
 
+    def _on_late_result(
+        self, result: Result[TableUpdate | HistoryLost, TableError]
+    ) -> None:
+        """Apply what a read that was replaced has returned, if it is news."""
+        match result:
+            case Ok(TableUpdate() as update) if update.version > self.version:
+                self._broadcast_update(update)
+                self._apply(update)
+            case _:
+                return
+
     def _broadcast_update(self, update: TableUpdate) -> None:
         """Broadcast the rows that were read, or only the version of a large update."""
         if not (
