Fetch a large configuration once, from readers that share the work

Cause: a VM behind fetched the document twice at the same time, as a row of the table and as the configuration in force, and all VMs of a zone asked the one reader that told first. Change: the configuration in force is fetched only where the table's copy is whole, as after a restore of the store; fetches after a notice are spread over 100 ms, so that a VM knows all readers of its zone and picks one of them; the store is read as well after 1 s instead of 0.6 s; news that comes during a fetch is fetched right after it.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -49,7 +49,10 @@
 MAX_NOTICE_ROWS: Final = 10
 """Largest number of rows in a notice; at about 250 bytes each they fill two
 packets."""
-NEWS_READ_DELAY_MS: Final = 600.0
+NEWS_FETCH_SPREAD_MS: Final = 100.0
+"""Time over which the VMs of a zone spread their fetches after a notice. They then know
+of all readers, and don't all ask the one that was first to tell."""
+NEWS_READ_DELAY_MS: Final = 1_000.0
 """Time in which other VMs should send changes of which a notice told, before the store
 is asked as well."""
 NEWS_READ_MS: Final = 3_000.0
@@ -139,6 +142,7 @@
         self._reader_seen_at: Millis = -math.inf
         self._starts_reading_at: Millis = -math.inf
         self._news_read_until: Millis = -math.inf
+        self._is_fetch_due = False
         self._is_news_read_due = False
         self._is_reading = False
         self._history = TableHistory()
@@ -277,11 +281,20 @@
 
     def _catch_up(self) -> None:
         """Get news from another VM, and from the store if that takes long."""
-        self._fetch_if_behind()
+        if not self.is_loaded:
+            self._fetch_if_behind()
+        elif not self._is_fetch_due:
+            self._is_fetch_due = True
+            spread = NEWS_FETCH_SPREAD_MS * self._random.random()
+            self._loop.after(spread, self._fetch_news)
         if not self._is_news_read_due:
             self._is_news_read_due = True
             self._loop.after(NEWS_READ_DELAY_MS, self._read_news)
 
+    def _fetch_news(self) -> None:
+        self._is_fetch_due = False
+        self._fetch_if_behind()
+
     def _read_news(self) -> None:
         self._is_news_read_due = False
         if self.is_behind and not self._is_reading:
@@ -400,6 +413,8 @@
         if has_changed and self._is_reading and not self.is_store_unavailable:
             # The pending read missed these changes: its connection may be dead.
             self._read()
+        # Changes that came while this fetch was under way.
+        self._fetch_if_behind()
 
     def _read(self) -> None:
         """Start a read; the result of an earlier pending one is ignored."""
--- a/src/galenaferry/node/configuration.py
+++ b/src/galenaferry/node/configuration.py
@@ -100,6 +100,8 @@
         Returns the version in force on this VM, 0 if there is none.
     on_rows : callable
         Called with the row of the configuration.
+    is_table_behind : callable
+        Whether this VM's copy of the table lacks changes, which it fetches anyway.
     """
 
     def __init__(
@@ -108,7 +110,9 @@
         fetch_from_peer: FetchFromPeer,
         version_in_force: Callable[[], int],
         on_rows: Callable[[tuple[TableRow, ...]], None],
+        is_table_behind: Callable[[], bool],
     ) -> None:
+        self._is_table_behind = is_table_behind
         self._loop = loop
         self._fetch_from_peer = fetch_from_peer
         self._version_in_force = version_in_force
@@ -132,7 +136,7 @@
         self._loop.after(delay, lambda: self._fetch_if_older(address, version))
 
     def _fetch_if_older(self, address: str, version: int) -> None:
-        if version <= self._version_in_force():
+        if version <= self._version_in_force() or self._is_table_behind():
             self._is_pending = False
             return
         self._fetch_from_peer(
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -131,6 +131,7 @@
             self._fetch_from_peer,
             lambda: routes.version,
             self._on_configuration_rows,
+            lambda: self.configuration.is_behind,
         )
         self._update_since_by_table: dict[
             str, Callable[[StoreVersion], TableUpdate]
--- a/src/galenaferry/node/tests/test_configuration.py
+++ b/src/galenaferry/node/tests/test_configuration.py
@@ -34,11 +34,13 @@
             make_adapter(SETTINGS, self.loop), self.routes
         )
         self.fetches = []
+        self.is_table_behind = False
         self.peers = PeerConfigurations(
             self.loop,
             lambda *arguments: self.fetches.append(arguments),
             lambda: self.routes.version,
             self.updater.on_change,
+            lambda: self.is_table_behind,
         )
 
     def run_for(self, interval):
@@ -88,3 +90,17 @@
     bench.peers.on_peer_version("10.0.0.3:7000", 9)
     bench.run_for(20.0)
     assert bench.fetches[1][0] == "10.0.0.3:7000"
+
+
+def test_a_configuration_that_comes_with_the_table_is_not_fetched_a_second_time():
+    bench = ConfigurationBench()
+    bench.updater.on_change((row(5),))
+    bench.is_table_behind = True
+    bench.peers.on_peer_version("10.0.0.2:7000", 9)
+    bench.run_for(FETCH_DELAY_MS + 20.0)
+    assert bench.fetches == []
+    # The table is whole, and doesn't have the version after a restore of the store.
+    bench.is_table_behind = False
+    bench.peers.on_peer_version("10.0.0.2:7000", 9)
+    bench.run_for(FETCH_DELAY_MS + 20.0)
+    assert len(bench.fetches) == 1
--- a/src/galenaferry/node/tests/test_configuration_fleet.py
+++ b/src/galenaferry/node/tests/test_configuration_fleet.py
@@ -37,3 +37,19 @@
         fleet.run(1_000.0)
     fleet.run(APPLY_MS)
     assert fleet.late(16, acked_at[16], APPLY_MS) == []
+
+
+def test_a_vm_gets_a_large_configuration_about_once(monkeypatch):
+    fleet = make_fleet(monkeypatch)
+    fleet.store.refused = {vm.host for vm in fleet.random.sample(fleet.vms, 8)}
+    fleet.run(1_000.0)
+    before = [fleet.network.link_by_host[vm.host].bytes_received for vm in fleet.vms]
+    fleet.change(5, ROUTES_IN_BULK)
+    fleet.run(APPLY_MS)
+    received = sum(
+        fleet.network.link_by_host[vm.host].bytes_received - count
+        for vm, count in zip(fleet.vms, before, strict=True)
+    )
+    # Each reader reads the whole document; the others get it compressed.
+    document = 374_000
+    assert received < (6 + 0.25 * len(fleet.vms)) * document
