Ask VMs that send nothing new less and less often

Change: such an answer counts as a failure of that VM only, and the delay before the next VM is asked doubles up to 1 s until an answer brings news.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -58,7 +58,9 @@
 NEWS_READ_MS: Final = 3_000.0
 """Time for such a read from the store; a large row on a slow link needs a second."""
 PEER_RETRY_MS: Final = 50.0
-"""Delay after a failed fetch before another VM is asked."""
+"""Delay after a failed fetch before another VM is asked; it doubles with each further
+one."""
+MAX_PEER_RETRY_MS: Final = 1_000.0
 MAX_NOTICE_BYTES: Final = 8_192
 """Largest size of the rows in a notice. A reader sends it to all VMs of its zone: half
 a megabyte to 58 of them, 0.4 s on a link of 10 Mbit/s."""
@@ -143,6 +145,7 @@
         self._starts_reading_at: Millis = -math.inf
         self._news_read_until: Millis = -math.inf
         self._is_fetch_due = False
+        self._peer_retry_delay = PEER_RETRY_MS
         self._is_news_read_due = False
         self._is_reading = False
         self._history = TableHistory()
@@ -389,17 +392,16 @@
                 vm=address,
                 error=result.err_value.text,
             )
-            self._sources.on_failure(address, self._loop.clock.now())
-            self._loop.after(PEER_RETRY_MS, self._fetch_if_behind)
+            self._retry_fetch(address)
             if self._settings.is_shared and not self._is_reading:
                 self._read()
             return
         update = result.ok_value
-        # The VM may have had less than it told, as after a restore of the store.
-        self._sources.on_version(address, update.version)
         if update.version <= self.version:
-            self._loop.after(PEER_RETRY_MS, self._fetch_if_behind)
+            if self.is_behind:
+                self._retry_fetch(address)
             return
+        self._peer_retry_delay = PEER_RETRY_MS
         log.info(
             "table updated from another VM",
             table=self._settings.table,
@@ -416,6 +418,12 @@
         # Changes that came while this fetch was under way.
         self._fetch_if_behind()
 
+    def _retry_fetch(self, address: str) -> None:
+        """Ask another VM soon, later after each further failure in a row."""
+        self._sources.on_failure(address, self._loop.clock.now())
+        self._loop.after(self._peer_retry_delay, self._fetch_if_behind)
+        self._peer_retry_delay = min(MAX_PEER_RETRY_MS, 2.0 * self._peer_retry_delay)
+
     def _read(self) -> None:
         """Start a read; the result of an earlier pending one is ignored."""
         self._is_reading = True
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -270,6 +270,18 @@
     assert bench.changes[-1] == TWO
 
 
+def test_vms_that_send_nothing_new_are_asked_less_and_less_often():
+    bench = make_vm_with_news()
+    answers = (Ok(table_update(10)), Err(TableError("ECONNREFUSED")))
+    answered = 0
+    for _ in range(60):
+        bench.run_for(100.0)
+        while answered < len(bench.peer_fetches):
+            bench.peer_fetches[answered][1](answers[answered % 2])
+            answered += 1
+    assert 6 <= answered <= 14
+
+
 def test_news_that_came_during_a_fetch_is_fetched_right_after_it():
     bench = make_vm_with_news()
     bench.follower.on_notice("10.0.0.2:7000", TableNotice(at(14), at(14), ()))
