Refuse requests without a route as not run while news of the configuration is missing

Cause: a VM that knew of a newer configuration, from a notice or a heartbeat, and hadn't got it yet, answered from the old one as if it were sure. Class: an answer from old knowledge that doesn't say so. Change: a VM that knows that it is behind answers 503, not run, with a Retry-After, where its own configuration has no route; the same unknown-route answer serves a VM without any configuration. Routes that it has are served as before. Evidence: test_vms_that_know_of_a_newer_configuration_do_not_reject_its_callers fails without the decision (the VMs say 404), passes with it.

--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -139,7 +139,11 @@
             self._relaying.backends.check_own_links,
             random,
         )
-        self.routes = HostRouteTable(int(settings.budget.ratio * 100.0), random)
+        self.routes = HostRouteTable(
+            int(settings.budget.ratio * 100.0),
+            random,
+            lambda: self.tables.is_configuration_current,
+        )
         self._register = VmRegister(
             loop, adapter.store, adapter.tables.vms, settings.name, self.table, random
         )
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -156,6 +156,11 @@
         """Whether this VM knows of a configuration that it has not got yet."""
         return self.configuration.is_behind or self._peer_configurations.is_behind
 
+    @property
+    def is_configuration_current(self) -> bool:
+        """Whether this VM is sure that its configuration is the newest one."""
+        return not self.is_configuration_behind
+
     @property
     def refreshes(self) -> tuple[Callable[[], None], ...]:
         """Functions that read the tables again."""
--- a/src/galenaferry/node/tests/configuration_fleet.py
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -11,6 +11,7 @@
 
 from galenaferry.clock import FakeClock
 from galenaferry.discovery.readers import is_reader, rank_of
+from galenaferry.framing.messages import RequestHead
 from galenaferry.membership.messages import Freshness, Heartbeat, Member
 from galenaferry.network import fetch as fetch_module
 from galenaferry.network.json_server import JsonRequest
@@ -21,6 +22,7 @@
 from galenaferry.platform.settings import parse_node_file
 from galenaferry.platform.tests.builders import NODE_FILE, configuration_json
 from galenaferry.routing.hosts import HostRouteTable
+from galenaferry.routing.table import NoRoute
 
 MESSAGE_DELAY_MS = 6.0
 HEARTBEAT_MS = 1_000.0
@@ -134,7 +136,9 @@
         self.address = f"{self.host}:7200"
         self.member = Member(self.address, 1, 1, zone, "r", False, 0)
         settings = parse_node_file("local.toml", NODE_FILE).unwrap()
-        self.routes = HostRouteTable(20, Random(number))
+        self.routes = HostRouteTable(
+            20, Random(number), lambda: self.tables.is_configuration_current
+        )
         self.applied_at = {}
         loop = HostLoop(fleet.loop, self.host)
         self.tables = Tables(
@@ -252,9 +256,35 @@
     def change(self, version, route_count):
         """Write a configuration; return the time of the acknowledgement."""
         value = make_configuration(version, route_count, self.random)
+        route = json.loads(value)["routes"][-1]
+        self.head_of_new_route = RequestHead(
+            b"GET",
+            route["prefix"].encode(),
+            "1.1",
+            ((b"host", route["host"].encode()),),
+            0,
+            True,
+            False,
+        )
         self.store.put(value)
         return self.clock.now()
 
+    def rejecting(self, version, acked_at, bound):
+        """Return the VMs that say that a route of a version doesn't exist.
+
+        They are asked for it all the time from ``bound`` ms after the acknowledgement.
+        """
+        rejecting = set()
+        while self.clock.now() < acked_at + 2.0 * bound:
+            self.run(20.0)
+            if self.clock.now() > acked_at + bound:
+                rejecting |= {
+                    vm.host
+                    for vm in self.vms
+                    if vm.routes.route(self.head_of_new_route) == NoRoute()
+                }
+        return rejecting
+
     def late(self, version, acked_at, bound):
         """Return the VMs that did not apply a version within ``bound`` ms."""
         return [
--- a/src/galenaferry/node/tests/test_configuration_fleet.py
+++ b/src/galenaferry/node/tests/test_configuration_fleet.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from galenaferry.discovery.messages import StoreVersion, TableNotice
 from galenaferry.node.tests.configuration_fleet import ConfigurationFleet
+from galenaferry.routing.table import NoRoute
 
 APPLY_MS = 2_500.0
 """Time after the acknowledgement in which a configuration must be in force."""
@@ -18,6 +20,12 @@
     return fleet
 
 
+def news_of(counter):
+    """Return a notice of a change whose rows are too large for it."""
+    version = StoreVersion(0, counter)
+    return TableNotice(version, version, (), table="op")
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_vms_that_the_store_turns_away_get_a_large_configuration(monkeypatch, seed):
     fleet = make_fleet(monkeypatch, seed=seed)
@@ -53,3 +61,23 @@
     # Each reader reads the whole document; the others get it compressed.
     document = 374_000
     assert received < (6 + 0.25 * len(fleet.vms)) * document
+
+
+def test_vms_that_know_of_a_newer_configuration_do_not_reject_its_callers(monkeypatch):
+    fleet = make_fleet(monkeypatch)
+    # No VM gets the rows, from the store or from others.
+    acked_at = fleet.change(5, ROUTES_IN_BULK)
+    fleet.store.refused = {vm.host for vm in fleet.vms}
+    for vm in fleet.vms[1:]:
+        vm.on_notice(fleet.vms[0], news_of(fleet.store.version))
+    fleet.network.server_by_address.clear()
+    rejecting = fleet.rejecting(5, acked_at, APPLY_MS)
+    assert rejecting & {vm.host for vm in fleet.vms[1:]} == set()
+
+
+def test_vms_in_touch_say_that_there_is_no_route(monkeypatch):
+    fleet = make_fleet(monkeypatch)
+    unknown = fleet.head_of_new_route._replace(target=b"/none/")
+    for _ in range(100):
+        fleet.run(100.0)
+        assert all(vm.routes.route(unknown) == NoRoute() for vm in fleet.vms)
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -28,7 +28,7 @@
 from ..framing.messages import Header, RequestHead, ResponseHead
 from ..relay.answers import instance_headers, without_instance
 from ..relay.origin import UNKNOWN_ORIGIN, Origin
-from ..routing.table import NoConfiguration, NoRoute, Route
+from ..routing.table import NoRoute, Route, UnknownRoute
 from .admission import TOKEN_RECHECK_MS, Admission, AttemptPermit
 from .announcements import record_announcements
 from .answer_writer import AnswerWriter
@@ -128,8 +128,8 @@
             self.refuse(403, self._origin.error)
             return
         match self._context.routes.route(self.head):
-            case NoConfiguration():
-                self.refuse(503, "no configuration is known yet")
+            case UnknownRoute(reason):
+                self.refuse(503, reason)
             case NoRoute():
                 self.refuse(404, "no service for this path")
             case Route() as route:
--- a/src/galenaferry/requests/tests/test_startup.py
+++ b/src/galenaferry/requests/tests/test_startup.py
@@ -5,7 +5,7 @@
 from galenaferry.requests.interface import RequestSettings
 from galenaferry.requests.startup import STARTUP_HOLD_MS, StartupQueue
 from galenaferry.requests.tests.builders import Bench
-from galenaferry.routing.table import NoConfiguration
+from galenaferry.routing.table import MAY_LACK_ROUTE, NO_CONFIGURATION
 from galenaferry.stand_ins.backend_state import BackendMode
 
 
@@ -17,7 +17,7 @@
         self.is_known = False
 
     def route(self, head):
-        return self._routes.route(head) if self.is_known else NoConfiguration()
+        return self._routes.route(head) if self.is_known else NO_CONFIGURATION
 
 
 def make_starting_bench(work_ms=5.0):
@@ -85,3 +85,14 @@
     assert not queue.enqueue(lambda: None)
     assert not queue.enqueue(lambda: None)
     assert calls == ["first"]
+
+
+def test_a_request_whose_route_may_be_missing_is_refused_as_not_run_with_a_retry_after():
+    bench = make_starting_bench()
+    bench.context.startup_queue.release()
+    bench.context.routes.route = lambda head: MAY_LACK_ROUTE
+    status, headers, body = bench.caller().post("/new/one", b"abc").answers()[0]
+    assert (status, headers["galenaferry-ran"]) == (503, "not-run")
+    assert 0.0 < float(headers["retry-after"]) <= 2.0
+    assert b"may lack changes" in body
+    assert bench.executions() == 0
--- a/src/galenaferry/routing/hosts.py
+++ b/src/galenaferry/routing/hosts.py
@@ -3,6 +3,7 @@
 The process in ``node`` uses these routes; ``entry`` uses those of ``table``.
 """
 
+from collections.abc import Callable
 from random import Random
 from typing import Final, NamedTuple
 
@@ -10,7 +11,7 @@
 from ..configuration.policy import DEFAULT_POLICY, Policy
 from ..framing.limits import CallerLimits
 from ..framing.messages import RequestHead
-from .table import NoConfiguration, NoRoute, Route, RouteResult
+from .table import MAY_LACK_ROUTE, NO_CONFIGURATION, NoRoute, Route, RouteResult
 
 SLASH: Final = b"/"
 CONNECT_TIMEOUT_MS: Final = 300
@@ -75,9 +76,17 @@
         Limit on the retries of the fleet, in percent of its requests.
     random : Random
         Chooses between the weighted services of a route.
+    is_current : callable
+        Whether this VM is sure that there is no newer configuration.
     """
 
-    def __init__(self, retry_percent: int, random: Random) -> None:
+    def __init__(
+        self,
+        retry_percent: int,
+        random: Random,
+        is_current: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._is_current = is_current
         self._retry_percent = retry_percent
         self._random = random
         self._document: RoutingDocument | None = None
@@ -120,11 +129,11 @@
     def route(self, head: RequestHead) -> RouteResult:
         """Return the route of a request, or why there is none."""
         if self._document is None:
-            return NoConfiguration()
+            return NO_CONFIGURATION
         host = (head.header(b"host") or b"").partition(b":")[0].lower()
         route = _find_longest_prefix(self._routes_by_host.get(host, {}), head.target)
         if route is None:
-            return NoRoute()
+            return NoRoute() if self._is_current() else MAY_LACK_ROUTE
         service = self._pick_service(route)
         return Route(
             service=service,
--- a/src/galenaferry/routing/table.py
+++ b/src/galenaferry/routing/table.py
@@ -41,11 +41,19 @@
     """The configuration in force has no route for the request."""
 
 
-class NoConfiguration(NamedTuple):
-    """No configuration has been received yet, so the route is not known."""
+class UnknownRoute(NamedTuple):
+    """This VM can't tell whether there is a route, for the given reason.
 
+    It has received no configuration yet, or may lack changes of it.
+    """
+
+    reason: str
+
+
+NO_CONFIGURATION: Final = UnknownRoute("no configuration is known yet")
+MAY_LACK_ROUTE: Final = UnknownRoute("this VM may lack changes of the configuration")
 
-RouteResult = Route | NoRoute | NoConfiguration
+RouteResult = Route | NoRoute | UnknownRoute
 
 
 class RouteTable:
--- a/src/galenaferry/routing/tests/test_hosts.py
+++ b/src/galenaferry/routing/tests/test_hosts.py
@@ -7,7 +7,7 @@
 
 from galenaferry.framing.messages import RequestHead
 from galenaferry.routing.hosts import HostRouteTable
-from galenaferry.routing.table import NoConfiguration, NoRoute
+from galenaferry.routing.table import MAY_LACK_ROUTE, NO_CONFIGURATION, NoRoute
 from galenaferry.routing.tests.builders import document, host_route
 
 
@@ -22,7 +22,7 @@
 
 
 def test_without_a_configuration_the_route_is_not_known():
-    assert HostRouteTable(20, Random(1)).route(head(b"a", b"/x/")) == NoConfiguration()
+    assert HostRouteTable(20, Random(1)).route(head(b"a", b"/x/")) == NO_CONFIGURATION
 
 
 @pytest.mark.parametrize(
@@ -43,6 +43,17 @@
     assert found == NoRoute() if name is None else found.name == name
 
 
+def test_a_vm_that_may_lack_changes_does_not_say_that_there_is_no_route():
+    is_current = [False]
+    table = HostRouteTable(20, Random(1), lambda: is_current[0])
+    table.replace_if_newer(document(1, host_route("short", b"/x/")))
+    assert table.route(head(b"a.example", b"/new/")) == MAY_LACK_ROUTE
+    assert table.route(head(b"b.example", b"/x/")) == MAY_LACK_ROUTE
+    assert table.route(head(b"a.example", b"/x/1")).name == "short"
+    is_current[0] = True
+    assert table.route(head(b"a.example", b"/new/")) == NoRoute()
+
+
 def test_services_are_chosen_in_proportion_to_their_weights():
     table = routes(
         host_route(
