Refuse requests without a route as not run where the store was not heard of for 5 s

Cause: a VM that hears neither of the store nor of other VMs knows of no newer configuration, and took its own for the newest one; a reader whose read hung went on confirming the copies of its zone with its announcements. Change: each copy of a table knows until when the store is known to have had no newer changes: from this VM's own reads, and from notices, which carry that age. Over 5 s old, it no longer proves that a route doesn't exist; a pause ends it at once. Notices of VMs of the earlier version don't tell the age and count as 2.5 s old; the field is skipped by them.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -32,6 +32,9 @@
 from .readers import ANNOUNCE_INTERVAL_MS, needs_own_read
 from .sources import PeerSources
 
+MAX_CONFIRMATION_AGE_MS: Final = 5_000.0
+"""Age from which a VM no longer takes its copy for the newest one. In a fleet without
+failures it is below the time of a long poll and of two announcements."""
 LONG_POLL_MS: Final = 2_500.0
 """Time after which the store ends a long poll without changes. A poll whose connection
 went silent is given up that much later, and may be that of all readers."""
@@ -163,6 +166,8 @@
         self.version = NO_VERSION
         # Newest version of this table that another VM has told of.
         self._newest_heard = NO_VERSION
+        # Latest time at which the store is known to have had no newer changes.
+        self._confirmed_at: Millis = -math.inf
         # Version of the latest result of this VM's own reads, and the one after which
         # the pending read returns changes.
         self._read_version = NO_VERSION
@@ -181,6 +186,12 @@
         """Whether the table was read at least once, from the store or another VM."""
         return self.version > NO_VERSION
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the store lately had no changes that this copy lacks."""
+        age = self._loop.clock.now() - self._confirmed_at
+        return not self.is_behind and age <= MAX_CONFIRMATION_AGE_MS
+
     @property
     def is_behind(self) -> bool:
         """Whether another VM has told of changes that this copy lacks."""
@@ -215,6 +226,8 @@
 
     def refresh(self) -> None:
         """Replace a pending read, whose connection may be dead after a pause."""
+        # A clock that is paused as well doesn't tell for how long.
+        self._confirmed_at = -math.inf
         if self._is_reading:
             self._read()
 
@@ -229,6 +242,13 @@
             # Nothing can be served until the table is known.
             self._fetch_if_behind()
 
+    def _on_notice_confirmed(self, notice: TableNotice) -> None:
+        """Record until when the store had no changes that this copy lacks."""
+        age = notice.confirmed_ago
+        if age is None:
+            age = LONG_POLL_MS
+        self._confirmed_at = max(self._confirmed_at, self._loop.clock.now() - age)
+
     def _on_version_heard(self, address: str, version: StoreVersion) -> None:
         self._newest_heard = max(self._newest_heard, version)
         self._sources.on_version(address, version)
@@ -243,6 +263,7 @@
         if notice.failed_ago < NEVER_FAILED_MS:
             self.failed_at = max(self.failed_at or 0.0, now - notice.failed_ago)
         if notice.version <= self.version:
+            self._on_notice_confirmed(notice)
             return
         if self._is_reading:
             # The next read may wait for further changes first.
@@ -254,6 +275,7 @@
             and not self._is_new_era(notice.version)
         ):
             self._apply(TableUpdate(notice.version, notice.rows, is_snapshot=False))
+            self._on_notice_confirmed(notice)
         elif not self._is_reading:
             self._catch_up()
 
@@ -364,6 +386,7 @@
             rows,
             failed_ago,
             self._settings.table,
+            now - self._confirmed_at if self._confirmed_at > -math.inf else None,
         )
 
     def _fetch_if_behind(self) -> None:
@@ -466,6 +489,7 @@
             case TableUpdate() as update:
                 self._needs_full_read = False
                 self._read_version = update.version
+                self._confirmed_at = self._loop.clock.now()
                 is_first = not self.is_loaded
                 # The notice starts at ``last_change_version``, which ``_apply`` sets.
                 self._broadcast_update(update)
--- a/src/galenaferry/discovery/messages.py
+++ b/src/galenaferry/discovery/messages.py
@@ -81,6 +81,9 @@
     table : str
         Name of the table; empty in notices of VMs of an earlier version, which share
         only the table of the instances.
+    confirmed_ago : float or None
+        Time in milliseconds since the store is known to have had no changes after
+        ``version``; None in notices of VMs of an earlier version.
     """
 
     after: StoreVersion
@@ -88,6 +91,7 @@
     rows: tuple[TableRow, ...]
     failed_ago: Millis = NEVER_FAILED_MS
     table: str = ""
+    confirmed_ago: Millis | None = None
 
 
 class HistoryLost(NamedTuple):
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from galenaferry.discovery.follower import (
+    MAX_CONFIRMATION_AGE_MS,
     NEWS_FETCH_SPREAD_MS,
     NEWS_READ_DELAY_MS,
     PEER_RETRY_MS,
@@ -358,7 +359,7 @@
     bench.run_for(ROLE_DELAY_MS + 5.0)
     bench.source.answer(table_update(12, config=b"x" * 60_000))
     assert bench.notices[-1] == TableNotice(
-        at(10), at(12), (), bench.notices[-1].failed_ago, "op"
+        at(10), at(12), (), bench.notices[-1].failed_ago, "op", confirmed_ago=0.0
     )
 
 
@@ -460,3 +461,39 @@
     done(Err(TableError("status 503")))
     assert bench.changes[-1] == TWO
     assert not bench.follower.is_store_unavailable
+
+
+def is_confirmed_after(interval, notice=None):
+    """Return whether a VM without news of the store takes its copy for the newest."""
+    bench = make_non_reader()
+    bench.run_for(interval)
+    if notice is not None:
+        bench.follower.on_notice("10.0.0.1:7000", notice)
+    return bench.follower.is_confirmed
+
+
+def test_a_copy_is_not_taken_for_the_newest_without_news_of_the_store():
+    assert is_confirmed_after(MAX_CONFIRMATION_AGE_MS - 1_500.0)
+    assert not is_confirmed_after(MAX_CONFIRMATION_AGE_MS + 10.0)
+
+
+def test_a_reader_whose_reads_hang_does_not_confirm_the_copies_of_others():
+    waiting = 2.0 * MAX_CONFIRMATION_AGE_MS
+    notice = TableNotice(at(10), at(10), (), confirmed_ago=300.0)
+    assert is_confirmed_after(waiting, notice)
+    assert not is_confirmed_after(waiting, notice._replace(confirmed_ago=waiting))
+    # A VM of an earlier version doesn't tell.
+    assert is_confirmed_after(waiting, notice._replace(confirmed_ago=None))
+
+
+def test_the_age_of_a_confirmation_is_passed_on_with_notices():
+    bench = make_reader()
+    bench.run_for(2_100.0)
+    assert 2_000.0 <= bench.notices[-1].confirmed_ago <= 2_500.0
+
+
+def test_a_vm_that_was_paused_does_not_take_its_copy_for_the_newest():
+    bench = make_non_reader()
+    assert bench.follower.is_confirmed
+    bench.follower.refresh()
+    assert not bench.follower.is_confirmed
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -159,7 +159,9 @@
     @property
     def is_configuration_current(self) -> bool:
         """Whether this VM is sure that its configuration is the newest one."""
-        return not self.is_configuration_behind
+        return (
+            self.configuration.is_confirmed and not self._peer_configurations.is_behind
+        )
 
     @property
     def refreshes(self) -> tuple[Callable[[], None], ...]:
--- a/src/galenaferry/node/tests/test_configuration_fleet.py
+++ b/src/galenaferry/node/tests/test_configuration_fleet.py
@@ -75,6 +75,15 @@
     assert rejecting & {vm.host for vm in fleet.vms[1:]} == set()
 
 
+def test_vms_that_hear_nothing_of_the_store_do_not_reject_callers(monkeypatch):
+    fleet = make_fleet(monkeypatch)
+    fleet.loss = 1.0
+    fleet.store.silent = {vm.host for vm in fleet.vms}
+    fleet.run(3_000.0)
+    acked_at = fleet.change(5, 21)
+    assert fleet.rejecting(5, acked_at, APPLY_MS) == set()
+
+
 def test_vms_in_touch_say_that_there_is_no_route(monkeypatch):
     fleet = make_fleet(monkeypatch)
     unknown = fleet.head_of_new_route._replace(target=b"/none/")
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -250,6 +250,8 @@
     target.versionEra = notice.version.era
     target.table = notice.table
     target.failedAgoMs = min(int(notice.failed_ago), MAX_AGE_MS)
+    if notice.confirmed_ago is not None:
+        target.confirmedAgoMs = min(int(notice.confirmed_ago), MAX_AGE_MS - 1)
     rows = target.init("rows", len(notice.rows))
     for index, row in enumerate(notice.rows):
         rows[index].key = row.key
@@ -262,6 +264,11 @@
         after=StoreVersion(source.afterEra, source.after),
         version=StoreVersion(source.versionEra, source.version),
         failed_ago=float(source.failedAgoMs),
+        confirmed_ago=(
+            None
+            if source.confirmedAgoMs == MAX_AGE_MS
+            else float(source.confirmedAgoMs)
+        ),
         table=source.table,
         rows=tuple(
             TableRow(row.key, None if row.isRemoved else bytes(row.value))
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -107,6 +107,7 @@
   table @4 :Text;
   afterEra @5 :UInt32;
   versionEra @6 :UInt32;
+  confirmedAgoMs @7 :UInt32 = 0xffffffff;
 }
 
 struct Datagram {
--- a/src/galenaferry/peers/tests/test_codec.py
+++ b/src/galenaferry/peers/tests/test_codec.py
@@ -47,6 +47,12 @@
     TableNotice(
         StoreVersion(1, 2**43), StoreVersion(2, 3), (TableRow("i-1", None),), 5.0
     ),
+    TableNotice(
+        StoreVersion(1, 5), StoreVersion(1, 5), (), table="op", confirmed_ago=250.0
+    ),
+    TableNotice(
+        StoreVersion(1, 5), StoreVersion(1, 5), (), table="op", confirmed_ago=0.0
+    ),
 ]
 
 
