--- a/src/galenaferry/node/tests/configuration_fleet.py
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -50,6 +50,14 @@
     return configuration_json(version=f"{version:08x}", routes=routes)
 
 
+class _Poll:
+    """A long poll that waits for changes."""
+
+    def __init__(self, host):
+        self.host = host
+        self.is_pending = True
+
+
 class FakeStore:
     """Store with one configuration, which turns some hosts away or is silent to them.
 
@@ -64,6 +72,7 @@
         self.silent = set()
         self.refused = set()
         self._waiting = []
+        self._polls = []
         self.calls = 0
 
     def put(self, value):
@@ -74,6 +83,11 @@
         for answer in waiting:
             answer()
 
+    def silence_connections(self, hosts):
+        """Never answer the pending polls of some hosts; their new calls work."""
+        for poll in self._polls:
+            poll.is_pending &= poll.host not in hosts
+
     def server_for(self, host):
         def serve(request, respond):
             self.calls += 1
@@ -92,17 +106,18 @@
         after = int(query.get("after", 0))
         is_configuration = query["table"] == "op"
         if path == "/rows-feed" and not (is_configuration and self.changed_at > after):
-            is_answered = [False]
+            poll = _Poll(host)
 
             def answer():
-                if not is_answered[0] and host not in self.silent:
-                    is_answered[0] = True
+                if poll.is_pending and host not in self.silent:
+                    poll.is_pending = False
                     rows = self._rows(is_configuration and self.changed_at > after)
                     respond(200, rows)
 
             self._loop.after(float(query["waitMs"]), answer)
             if is_configuration:
                 self._waiting.append(answer)
+            self._polls.append(poll)
             return
         respond(200, self._rows(is_configuration))
 
@@ -226,6 +241,9 @@
             vm.tables.begin()
             self._schedule_heartbeats(vm)
 
+    def readers(self):
+        return [vm for vm in self.vms if vm._is_designated_reader()]
+
     def in_zone(self, zone):
         return [vm for vm in self.vms if vm.member.zone == zone]
 
--- a/src/galenaferry/node/tests/test_configuration_fleet.py
+++ b/src/galenaferry/node/tests/test_configuration_fleet.py
@@ -8,6 +8,8 @@
 
 APPLY_MS = 2_500.0
 """Time after the acknowledgement in which a configuration must be in force."""
+IN_TOUCH_MS = 3_000.0
+"""Time after which a VM whose connections were reset must keep its promises."""
 ROUTES_IN_BULK = 1_400
 
 
@@ -90,3 +92,42 @@
     for _ in range(100):
         fleet.run(100.0)
         assert all(vm.routes.route(unknown) == NoRoute() for vm in fleet.vms)
+
+
+@pytest.mark.parametrize("delay", [0.0, 1_000.0, 2_400.0, 4_500.0])
+@pytest.mark.parametrize("loss", [0.0, 0.1])
+def test_a_change_is_in_force_though_polls_of_all_readers_of_a_zone_went_silent(
+    monkeypatch, delay, loss
+):
+    fleet = make_fleet(monkeypatch, loss=loss)
+    zone = {vm.host for vm in fleet.in_zone("zone-0")}
+    fleet.store.silence_connections(zone)
+    fleet.run(delay)
+    acked_at = fleet.change(5, 100)
+    fleet.run(APPLY_MS)
+    assert fleet.late(5, acked_at, APPLY_MS) == []
+
+
+@pytest.mark.parametrize("delay", [0.0, 3_000.0, 6_000.0])
+def test_a_change_is_in_force_though_the_store_is_silent_to_all_readers_of_a_zone(
+    monkeypatch, delay
+):
+    fleet = make_fleet(monkeypatch)
+    fleet.store.silent = {vm.host for vm in fleet.readers()} & {
+        vm.host for vm in fleet.in_zone("zone-0")
+    }
+    fleet.run(delay)
+    acked_at = fleet.change(5, ROUTES_IN_BULK)
+    fleet.run(APPLY_MS)
+    assert fleet.late(5, acked_at, APPLY_MS) == []
+
+
+def test_a_change_is_in_force_soon_after_the_polls_of_the_whole_fleet_went_silent(
+    monkeypatch,
+):
+    fleet = make_fleet(monkeypatch)
+    fleet.store.silence_connections({vm.host for vm in fleet.vms})
+    fleet.run(IN_TOUCH_MS)
+    acked_at = fleet.change(5, 100)
+    fleet.run(APPLY_MS)
+    assert fleet.late(5, acked_at, APPLY_MS) == []
