Take the limits on a request from the configuration in force, not of the connection's start

Cause: CallerConnection read the limits once, when it accepted the connection. Change: before each read the connection passes changed limits to its reader, which applies them to requests that begin from then on; one that has begun may use what the old or the new limits permit. Lowered limits hold on kept connections as well, which they did not. What a head or body may take stays bounded by the larger of the two.

--- a/src/galenaferry/framing/requests.py
+++ b/src/galenaferry/framing/requests.py
@@ -41,10 +41,12 @@
     owner : RequestOwner
         Receives the parsed requests.
     limits : RequestLimits
+        Limits in force at the start.
     """
 
     def __init__(self, owner: RequestOwner, limits: RequestLimits) -> None:
         self._owner = owner
+        self._limits_in_force = limits
         self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._error: FramingError | None = None
@@ -55,6 +57,19 @@
         """Whether no part of an incomplete request has been received."""
         return not self._is_in_message
 
+    def replace_limits(self, limits: RequestLimits) -> None:
+        """Apply other limits from now on.
+
+        A request that has begun may use what either the previous or the new limits
+        permit: its caller may know of the change earlier or later than this VM.
+        """
+        self._limits_in_force = limits
+        if self._is_in_message:
+            self._limits = RequestLimits(
+                max(self._limits.head_bytes, limits.head_bytes),
+                max(self._limits.body_bytes, limits.body_bytes),
+            )
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
@@ -87,6 +102,7 @@
     def on_message_begin(self) -> None:
         """Reset the state for the next request (called by httptools)."""
         self._reset()
+        self._limits = self._limits_in_force
         self._is_in_message = True
         self._began_in_feed = True
 
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -7,6 +7,7 @@
 
 from ..clock import Millis
 from ..framing.heads import CONTINUE, LAST_CHUNK, encode_chunk, encode_response
+from ..framing.limits import CallerLimits
 from ..framing.messages import FramingError, Header, RequestHead, ResponseHead
 from ..framing.requests import RequestLimits, RequestReader
 from ..framing.responses import BODILESS_STATUSES
@@ -42,6 +43,7 @@
         "_is_answer_last",
         "_is_input_ended",
         "_is_reading_body",
+        "_limits",
         "_on_closed",
         "_read_origin",
         "_reader",
@@ -69,10 +71,8 @@
         self._unsent_head = b""
         self.last_progress_at: Millis = context.loop.clock.now()
         self._answered_at: Millis = 0.0
-        limits = context.limits()
-        self._reader = RequestReader(
-            self, RequestLimits(limits.head_bytes, limits.body_bytes)
-        )
+        self._limits = context.limits()
+        self._reader = RequestReader(self, _request_limits(self._limits))
         self._stream = Stream(context.loop, sock, self, is_connecting=False)
         self._address = self._stream.peer.rpartition(":")[0]
 
@@ -127,6 +127,10 @@
     def on_data(self, data: bytes) -> None:
         """Parse received bytes (called by the stream)."""
         self.last_progress_at = self._context.loop.clock.now()
+        limits = self._context.limits()
+        if limits != self._limits:
+            self._limits = limits
+            self._reader.replace_limits(_request_limits(limits))
         try:
             self._reader.feed(data)
         except FramingError as error:
@@ -267,7 +271,7 @@
             exchange.on_caller_left()
 
     def _on_framing_error(self, error: FramingError) -> None:
-        """Refuse a malformed request, then close."""
+        """Refuse a malformed or too large request, then close."""
         self._context.counters.framing_errors += 1
         self._is_input_ended = True
         self._stream.pause()
@@ -286,6 +290,10 @@
         exchange.refuse(error.status, error.text)
 
 
+def _request_limits(limits: CallerLimits) -> RequestLimits:
+    return RequestLimits(limits.head_bytes, limits.body_bytes)
+
+
 class _Lingering:
     """Stream owner after the last answer, which waits for the caller to close."""
 
--- a/src/galenaferry/requests/tests/builders.py
+++ b/src/galenaferry/requests/tests/builders.py
@@ -10,10 +10,13 @@
 from galenaferry.clock import FakeClock
 from galenaferry.configuration.compact import Configuration
 from galenaferry.configuration.document import parse_sections
+from galenaferry.framing.limits import CallerLimits
 from galenaferry.network.loop import Loop
 from galenaferry.requests.component import RequestsComponent
 from galenaferry.requests.context import RequestContext
+from galenaferry.routing.hosts import HostRouteTable
 from galenaferry.routing.table import RouteTable
+from galenaferry.routing.tests.builders import document, host_route
 from galenaferry.stand_ins.backend import BackendStandIn
 from galenaferry.stand_ins.backend_state import BackendMode
 
@@ -170,3 +173,20 @@
 
 def faulty(**parts):
     return BackendMode(work_ms=5.0, **parts)
+
+
+def make_unconfigured_bench(**parts):
+    """Return a bench whose VM has no configuration yet, and its routes."""
+    bench = Bench(modes=[healthy()], **parts)
+    routes = HostRouteTable(20, Random(1))
+    bench.context.routes = routes
+    bench.context.limits = lambda: routes.limits
+    return bench, routes
+
+
+def apply_limits(routes, version, **limits):
+    """Apply a configuration with a route to the bookings and the given limits."""
+    row = host_route("bookings", b"/bookings/", host=b"a")
+    routes.replace_if_newer(
+        document(version, row)._replace(limits=CallerLimits(**limits))
+    )
