Answer a head that the default limits refuse with 503 while there is no configuration

Cause: the defaults in place of the configuration's limits looked like limits in force. Change: limits say whether they are known. Those of a VM without a configuration are not; what exceeds them is answered 503 as not run with Retry-After, and the connection is closed. The defaults still bound what is read. routing/hosts.py is touched for this one value: CallerLimits() is now UNKNOWN_LIMITS there. Tests of framing, requests and routing pass.

--- a/src/galenaferry/framing/requests.py
+++ b/src/galenaferry/framing/requests.py
@@ -14,10 +14,15 @@
 
 
 class RequestLimits(NamedTuple):
-    """Maximum sizes of a request's head and body in bytes."""
+    """Maximum sizes of a request's head and body in bytes.
+
+    ``is_known`` says whether a request beyond them is wrong. If not, they only limit
+    what is taken in.
+    """
 
     head_bytes: int
     body_bytes: int
+    is_known: bool = True
 
 
 class RequestOwner(Protocol):
@@ -68,6 +73,7 @@
             self._limits = RequestLimits(
                 max(self._limits.head_bytes, limits.head_bytes),
                 max(self._limits.body_bytes, limits.body_bytes),
+                limits.is_known,
             )
 
     def feed(self, data: bytes) -> None:
@@ -97,7 +103,7 @@
             # bytes limits a header that never ends.
             self._partial_head_bytes += len(data)
         if self._partial_head_bytes > self._limits.head_bytes + MAX_SEPARATOR_BYTES:
-            raise FramingError(431, "the head of the request is too large")
+            raise self._size_error(431, "the head of the request is too large")
 
     def on_message_begin(self) -> None:
         """Reset the state for the next request (called by httptools)."""
@@ -116,7 +122,7 @@
         if self._is_head_complete:
             return
         if len(self._headers) >= MAX_HEADER_COUNT:
-            self._refuse(431, "too many headers")
+            self._refuse_size(431, "too many headers")
         self._headers.append((name.lower(), value))
         self._add_head_bytes(len(name) + len(value))
 
@@ -126,14 +132,14 @@
         self._partial_head_bytes = 0
         head = self._build_head()
         if head.length is not None and head.length > self._limits.body_bytes:
-            self._refuse(413, "the body is too large")
+            self._refuse_size(413, "the body is too large")
         self._owner.on_head(head)
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the owner (called by httptools)."""
         self._body_bytes += len(data)
         if self._body_bytes > self._limits.body_bytes:
-            self._refuse(413, "the body is too large")
+            self._refuse_size(413, "the body is too large")
         self._owner.on_body(data)
 
     def on_message_complete(self) -> None:
@@ -154,12 +160,21 @@
     def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._limits.head_bytes:
-            self._refuse(431, "the head of the request is too large")
+            self._refuse_size(431, "the head of the request is too large")
 
     def _refuse(self, status: int, text: str) -> None:
         self._error = FramingError(status, text)
         raise self._error
 
+    def _refuse_size(self, status: int, text: str) -> None:
+        self._error = self._size_error(status, text)
+        raise self._error
+
+    def _size_error(self, status: int, text: str) -> FramingError:
+        if self._limits.is_known:
+            return FramingError(status, text)
+        return FramingError(503, f"the limits are not known yet: {text}")
+
     def _build_head(self) -> RequestHead:
         version = self._parser.get_http_version()
         if version not in SUPPORTED_VERSIONS:
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -291,7 +291,7 @@
 
 
 def _request_limits(limits: CallerLimits) -> RequestLimits:
-    return RequestLimits(limits.head_bytes, limits.body_bytes)
+    return RequestLimits(limits.head_bytes, limits.body_bytes, limits.is_known)
 
 
 class _Lingering:
--- a/src/galenaferry/requests/tests/test_changing_limits.py
+++ b/src/galenaferry/requests/tests/test_changing_limits.py
@@ -87,6 +87,37 @@
     assert statuses(caller.get("/bookings/y", large_header(9_000)), 2) == [200, 431]
 
 
+@pytest.mark.parametrize(
+    "headers",
+    [
+        large_header(DEFAULT_HEAD_BYTES + 1) + "\r\n",
+        large_header(4 * DEFAULT_HEAD_BYTES).rstrip(),
+        "X: y\r\n" * 101 + "\r\n",
+    ],
+    ids=["large", "unfinished", "many"],
+)
+def test_a_vm_without_a_configuration_does_not_blame_a_caller_for_a_head(headers):
+    bench, _ = make_unconfigured_bench()
+    caller = bench.caller().send(b"GET /bookings/x HTTP/1.1\r\nHost: a\r\n")
+    caller.send(headers.encode())
+    status, answer_headers, _ = caller.answers()[0]
+    assert (status, answer_headers["galenaferry-ran"]) == (503, "not-run")
+    assert float(answer_headers["retry-after"]) > 0.0
+    assert answer_headers["connection"] == "close"
+    bench.run(lambda: caller.is_closed, caller)
+
+
+def test_a_vm_without_a_configuration_does_not_blame_a_caller_for_a_body():
+    bench, _ = make_unconfigured_bench()
+    length = CallerLimits().body_bytes + 1
+    caller = bench.caller().send(
+        b"POST /bookings/x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % length
+    )
+    status, headers, _ = caller.answers()[0]
+    assert (status, headers["galenaferry-ran"]) == (503, "not-run")
+    assert headers["connection"] == "close"
+
+
 def test_a_caller_is_still_told_that_a_head_exceeds_the_limit_in_force():
     bench, _ = make_limited_bench(head_bytes=1_000)
     caller = bench.caller().get("/bookings/x", large_header(1_001))
--- a/src/galenaferry/routing/hosts.py
+++ b/src/galenaferry/routing/hosts.py
@@ -9,7 +9,7 @@
 
 from ..clock import Millis
 from ..configuration.policy import DEFAULT_POLICY, Policy
-from ..framing.limits import CallerLimits
+from ..framing.limits import UNKNOWN_LIMITS, CallerLimits
 from ..framing.messages import RequestHead
 from .table import MAY_LACK_ROUTE, NO_CONFIGURATION, NoRoute, Route, RouteResult
 
@@ -112,7 +112,7 @@
     @property
     def limits(self) -> CallerLimits:
         """Limits on the requests of callers."""
-        return CallerLimits() if self._document is None else self._document.limits
+        return UNKNOWN_LIMITS if self._document is None else self._document.limits
 
     def replace_if_newer(self, document: RoutingDocument) -> bool:
         """Apply a newer version; return False if ``document`` is not newer."""
