Hold a body that is arriving to the body limit in force

Cause: the exchange compares each part with the limit of the route that the request was given at its start, also after the reader has a higher one. Change: a body beyond that limit is compared with the limit of its route now; only beyond both it is refused. Evidence: test_a_body_that_began_before_its_limit_was_raised_is_not_held_to_the_old_one fails without the change (413 instead of 200) and passes now; a body beyond the limit in force still gets 413 (test). Tests of framing, requests and routing pass.

--- a/src/galenaferry/requests/body.py
+++ b/src/galenaferry/requests/body.py
@@ -1,8 +1,11 @@
-"""Buffer for a request body between the caller and the attempts."""
+"""A request body between the caller and the attempts: buffer and limit."""
 
 from typing import Final
 
 from ..crashes.fingerprint import body_digest
+from ..framing.messages import RequestHead
+from ..routing.table import Route
+from .context import Routes
 
 REPLAY_LIMIT_BYTES: Final = 65_536
 """Largest body that is kept after sending, for another attempt."""
@@ -69,3 +72,26 @@
     def rewind(self) -> None:
         """Mark all kept parts as unsent, for another attempt."""
         self._sent_parts = 0
+
+
+def is_body_too_large(
+    routes: Routes, route: Route | None, head: RequestHead, body: RequestBody
+) -> bool:
+    """Whether more of a body has arrived than its route permits.
+
+    Parameters
+    ----------
+    routes : Routes
+        The routes in force, whose limit may be higher by now.
+    route : Route or None
+        The route that the request was given, None while it has none.
+    head : RequestHead
+    body : RequestBody
+    """
+    if route is None or body.size <= route.policy.max_body_bytes:
+        return False
+    match routes.route(head):
+        case Route(policy=policy):
+            return body.size > policy.max_body_bytes
+        case _:
+            return True
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -35,7 +35,7 @@
 from .attempt import Attempt
 from .attempt_headers import added_headers
 from .attempt_recording import SentAttempt, record_attempt_outcome
-from .body import RequestBody
+from .body import RequestBody, is_body_too_large
 from .claiming import claim_key
 from .context import RequestContext
 from .deadline import Deadline, request_timeout
@@ -170,7 +170,7 @@
         if self.is_over:
             return
         self.body.append(data)
-        if self._route and self.body.size > self._route.policy.max_body_bytes:
+        if is_body_too_large(self._context.routes, self._route, self.head, self.body):
             self.refuse(413, "the body is too large")
             return
         self._gate.on_body()
--- a/src/galenaferry/requests/tests/test_changing_limits.py
+++ b/src/galenaferry/requests/tests/test_changing_limits.py
@@ -69,6 +69,15 @@
     assert statuses(caller, 1) == [200]
 
 
+def test_a_body_that_began_before_its_limit_was_raised_is_not_held_to_the_old_one():
+    bench, routes = make_limited_bench(body_bytes=1_000)
+    caller = bench.caller().send(chunked_head(b"/bookings/x") + chunk(900))
+    bench.run_for(20.0, caller)
+    apply_limits(routes, 2, body_bytes=100_000)
+    caller.send(chunk(5_000) + chunk(5_000) + b"0\r\n\r\n")
+    assert statuses(caller, 1) == [200]
+
+
 def test_a_request_that_began_before_its_limits_were_lowered_is_not_refused():
     bench, routes = make_limited_bench(head_bytes=20_000, body_bytes=20_000)
     caller = bench.caller()
