Leave the whitespace after a header's value out of the value

RFC 9110 section 5.5: such whitespace does not belong to the value, and recipients leave it out. Cause: httptools skips the whitespace before a value only; the host and the expectation were compared with the rest of the line. Change: the request reader drops spaces and tabs at the end of each value, so that instances, routes, keys and deadlines see the value itself.

--- a/src/galenaferry/framing/requests.py
+++ b/src/galenaferry/framing/requests.py
@@ -123,7 +123,8 @@
             return
         if len(self._headers) >= MAX_HEADER_COUNT:
             self._refuse_size(431, "too many headers")
-        self._headers.append((name.lower(), value))
+        # httptools leaves the whitespace after a value.
+        self._headers.append((name.lower(), value.rstrip(b" \t")))
         self._add_head_bytes(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
--- a/src/galenaferry/requests/tests/test_exchange.py
+++ b/src/galenaferry/requests/tests/test_exchange.py
@@ -7,7 +7,13 @@
 from galenaferry.backends.directory import ServiceHealth
 from galenaferry.claims.component import ClaimsComponent
 from galenaferry.claims.tests.builders import FakePlatform
-from galenaferry.requests.tests.builders import Bench, faulty, healthy
+from galenaferry.requests.tests.builders import (
+    Bench,
+    apply_limits,
+    faulty,
+    healthy,
+    make_unconfigured_bench,
+)
 
 
 def test_pipelined_requests_get_their_own_answers_in_order():
@@ -375,3 +381,10 @@
     for number in range(60):
         bench.caller().get(f"/bookings/{number}").answers()
     assert bench.backends[1].state.counters.executed - early > 20
+
+
+def test_a_space_after_the_host_does_not_make_its_route_unknown():
+    bench, routes = make_unconfigured_bench()
+    apply_limits(routes, 1)
+    caller = bench.caller().send(b"GET /bookings/x HTTP/1.1\r\nHost: a \r\n\r\n")
+    assert caller.answers()[0][0] == 200
