Give a request that was refused no second answer

Cause: a refusal ends its exchange while the bytes of the same read are still being parsed. A framing error in their rest found no exchange and got an answer of its own, though the connection was closing, or though it belonged to the request that had been answered. Change: framing errors after the last answer are left out. One that follows a complete and answered request, which only an upgrade does, closes the connection without an answer. Evidence: the three cases of test_a_refused_request_is_not_answered_a_second_time fail before ([503, 501] instead of [503]; {503: 1, 400: 1} in by_status) and pass now. Tests of framing, requests and routing pass.

--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -272,6 +272,9 @@
 
     def _on_framing_error(self, error: FramingError) -> None:
         """Refuse a malformed or too large request, then close."""
+        if self._stream.owner is not self:
+            # The last answer has been sent, so that no request can follow.
+            return
         self._context.counters.framing_errors += 1
         self._is_input_ended = True
         self._stream.pause()
@@ -285,6 +288,10 @@
                 self._exchanges.pop()
                 self._is_reading_body = False
             return
+        if self._reader.is_between_requests:
+            # The request has been answered: only its wish to upgrade is refused.
+            self._close_after_answer()
+            return
         exchange = Exchange(self._context, self, MALFORMED_HEAD)
         self._exchanges.append(exchange)
         exchange.refuse(error.status, error.text)
--- a/src/galenaferry/requests/tests/test_exchange.py
+++ b/src/galenaferry/requests/tests/test_exchange.py
@@ -3,6 +3,8 @@
 A booking is a POST request, which is not idempotent; a query is a GET request.
 """
 
+import pytest
+
 from galenaferry.attempts.messages import Evidence
 from galenaferry.backends.directory import ServiceHealth
 from galenaferry.claims.component import ClaimsComponent
@@ -388,3 +390,20 @@
     apply_limits(routes, 1)
     caller = bench.caller().send(b"GET /bookings/x HTTP/1.1\r\nHost: a \r\n\r\n")
     assert caller.answers()[0][0] == 200
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n",
+        b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    ],
+    ids=["bytes after the last request", "upgrade", "bytes after the last answer"],
+)
+def test_a_refused_request_is_not_answered_a_second_time(raw):
+    bench, _ = make_unconfigured_bench()
+    caller = bench.caller().send(raw)
+    bench.run(lambda: caller.is_closed, caller)
+    assert [status for status, _, _ in caller.answers()] == [503]
+    assert bench.context.counters.by_status == {503: 1}
