Don't hold requests of other VMs to the limits on callers

Cause: a request that goes by way of another VM has that VM's headers added, up to three and some hundred bytes, and was checked again there with the caller's limits, by a configuration that may be older. The other VM's 413 was passed on; its 431 bears no known request id and was taken for a late response, so that the attempt broke. Change: the listener for VMs reads heads of 256 KiB, or of the limit in force and 2 KiB if that is more, and three headers more; bodies, which are passed on as they arrive, have no limit there, neither in the reader nor by the route. What exceeds the bound is answered 503, since this VM can't know that it is wrong. A request without the key of the fleet is still refused after its head.

--- a/src/galenaferry/framing/limits.py
+++ b/src/galenaferry/framing/limits.py
@@ -1,8 +1,19 @@
 """Size limits and timeouts of caller connections."""
 
+import sys
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from ..clock import Millis
+from .requests import MAX_HEADER_COUNT, RequestLimits
+
+ADDED_HEAD_BYTES: Final = 2_048
+"""Bytes of the headers that a VM adds to a request for another VM."""
+ADDED_HEADER_COUNT: Final = 3
+"""Their number: the id, the time left and the origin."""
+MIN_RELAYED_HEAD_BYTES: Final = 262_144
+"""Head of a request of another VM that is read at least: the other VM may know a higher
+limit already."""
 
 
 class CallerLimits(NamedTuple):
@@ -23,3 +34,24 @@
 
 UNKNOWN_LIMITS: Final = CallerLimits(is_known=False)
 """Limits while there is no configuration."""
+
+LimitRequests = Callable[[CallerLimits], RequestLimits]
+"""Returns the limits on the requests of a listener."""
+
+
+def limit_callers(limits: CallerLimits) -> RequestLimits:
+    """Return the limits on the requests of callers."""
+    return RequestLimits(limits.head_bytes, limits.body_bytes, limits.is_known)
+
+
+def limit_vms(limits: CallerLimits) -> RequestLimits:
+    """Return the limits on the requests of other VMs, which have checked the callers'.
+
+    They bound what is held in memory. A body is passed on as it arrives.
+    """
+    return RequestLimits(
+        max(limits.head_bytes + ADDED_HEAD_BYTES, MIN_RELAYED_HEAD_BYTES),
+        sys.maxsize,
+        is_known=False,
+        header_count=MAX_HEADER_COUNT + ADDED_HEADER_COUNT,
+    )
--- a/src/galenaferry/framing/requests.py
+++ b/src/galenaferry/framing/requests.py
@@ -16,13 +16,14 @@
 class RequestLimits(NamedTuple):
     """Maximum sizes of a request's head and body in bytes.
 
-    ``is_known`` says whether a request beyond them is wrong. If not, they only limit
-    what is taken in.
+    ``header_count`` is the maximum number of headers. ``is_known`` says whether a
+    request beyond the limits is wrong. If not, they only limit what is taken in.
     """
 
     head_bytes: int
     body_bytes: int
     is_known: bool = True
+    header_count: int = MAX_HEADER_COUNT
 
 
 class RequestOwner(Protocol):
@@ -74,6 +75,7 @@
                 max(self._limits.head_bytes, limits.head_bytes),
                 max(self._limits.body_bytes, limits.body_bytes),
                 limits.is_known,
+                max(self._limits.header_count, limits.header_count),
             )
 
     def feed(self, data: bytes) -> None:
@@ -121,7 +123,7 @@
         """Add a header; trailers are dropped (called by httptools)."""
         if self._is_head_complete:
             return
-        if len(self._headers) >= MAX_HEADER_COUNT:
+        if len(self._headers) >= self._limits.header_count:
             self._refuse_size(431, "too many headers")
         # httptools leaves the whitespace after a value.
         self._headers.append((name.lower(), value.rstrip(b" \t")))
--- a/src/galenaferry/node/relaying.py
+++ b/src/galenaferry/node/relaying.py
@@ -6,6 +6,7 @@
 
 from circuits import BaseComponent
 
+from ..framing.limits import limit_vms
 from ..logs import logger
 from ..membership.state import MemberTable
 from ..network.loop import Loop
@@ -62,9 +63,9 @@
         """Take requests of other VMs, if there is an address for them."""
         if address is not None:
             read_origin = self.backends.reader_of_origins(self.authentication)
-            self._listener = RequestsComponent(context, address, read_origin).register(
-                root
-            )
+            self._listener = RequestsComponent(
+                context, address, read_origin, limit_vms
+            ).register(root)
 
     @property
     def unfinished_count(self) -> int:
--- a/src/galenaferry/requests/body.py
+++ b/src/galenaferry/requests/body.py
@@ -1,9 +1,11 @@
 """A request body between the caller and the attempts: buffer and limit."""
 
+import sys
 from typing import Final
 
 from ..crashes.fingerprint import body_digest
 from ..framing.messages import RequestHead
+from ..relay.origin import Origin
 from ..routing.table import Route
 from .context import Routes
 
@@ -95,3 +97,13 @@
             return body.size > policy.max_body_bytes
         case _:
             return True
+
+
+def lift_body_limit(route: Route, origin: Origin) -> Route:
+    """Return the route, without its body limit for a request of another VM.
+
+    That VM has checked the limit, and may know a higher one already.
+    """
+    if not origin.is_relayed:
+        return route
+    return route._replace(policy=route.policy._replace(max_body_bytes=sys.maxsize))
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -7,9 +7,9 @@
 
 from ..clock import Millis
 from ..framing.heads import CONTINUE, LAST_CHUNK, encode_chunk, encode_response
-from ..framing.limits import CallerLimits
+from ..framing.limits import LimitRequests, limit_callers
 from ..framing.messages import FramingError, Header, RequestHead, ResponseHead
-from ..framing.requests import RequestLimits, RequestReader
+from ..framing.requests import RequestReader
 from ..framing.responses import BODILESS_STATUSES
 from ..network.stream import Stream
 from ..relay.origin import ReadOrigin, read_caller
@@ -31,6 +31,8 @@
         Called with this object after the connection is closed.
     read_origin : callable
         Returns where a request comes from.
+    limit_requests : callable
+        Returns the limits on the requests.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "_is_answer_last",
         "_is_input_ended",
         "_is_reading_body",
+        "_limit_requests",
         "_limits",
         "_on_closed",
         "_read_origin",
@@ -58,6 +61,7 @@
         sock: socket.socket,
         on_closed: Callable[["CallerConnection"], None],
         read_origin: ReadOrigin = read_caller,
+        limit_requests: LimitRequests = limit_callers,
     ) -> None:
         self._context = context
         self._on_closed = on_closed
@@ -71,8 +75,9 @@
         self._unsent_head = b""
         self.last_progress_at: Millis = context.loop.clock.now()
         self._answered_at: Millis = 0.0
+        self._limit_requests = limit_requests
         self._limits = context.limits()
-        self._reader = RequestReader(self, _request_limits(self._limits))
+        self._reader = RequestReader(self, limit_requests(self._limits))
         self._stream = Stream(context.loop, sock, self, is_connecting=False)
         self._address = self._stream.peer.rpartition(":")[0]
 
@@ -130,7 +135,7 @@
         limits = self._context.limits()
         if limits != self._limits:
             self._limits = limits
-            self._reader.replace_limits(_request_limits(limits))
+            self._reader.replace_limits(self._limit_requests(limits))
         try:
             self._reader.feed(data)
         except FramingError as error:
@@ -297,10 +302,6 @@
         exchange.refuse(error.status, error.text)
 
 
-def _request_limits(limits: CallerLimits) -> RequestLimits:
-    return RequestLimits(limits.head_bytes, limits.body_bytes, limits.is_known)
-
-
 class _Lingering:
     """Stream owner after the last answer, which waits for the caller to close."""
 
--- a/src/galenaferry/requests/component.py
+++ b/src/galenaferry/requests/component.py
@@ -6,6 +6,7 @@
 from circuits import BaseComponent
 
 from ..clock import Millis
+from ..framing.limits import LimitRequests, limit_callers
 from ..network.listener import Listener
 from ..relay.origin import ReadOrigin, read_caller
 from .caller import CallerConnection
@@ -28,6 +29,8 @@
         Host and port to listen on.
     read_origin : callable
         Returns where a request comes from.
+    limit_requests : callable
+        Returns the limits on the requests.
     """
 
     channel = "requests"
@@ -37,9 +40,11 @@
         context: RequestContext,
         address: tuple[str, int],
         read_origin: ReadOrigin = read_caller,
+        limit_requests: LimitRequests = limit_callers,
     ) -> None:
         super().__init__()
         self._read_origin = read_origin
+        self._limit_requests = limit_requests
         self.context = context
         self._callers: set[CallerConnection] = set()
         self._listener = Listener(context.loop, address, self._accept)
@@ -95,7 +100,11 @@
 
     def _accept(self, sock: socket.socket) -> None:
         connection = CallerConnection(
-            self.context, sock, self._remove_caller, self._read_origin
+            self.context,
+            sock,
+            self._remove_caller,
+            self._read_origin,
+            self._limit_requests,
         )
         self._callers.add(connection)
 
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -35,7 +35,7 @@
 from .attempt import Attempt
 from .attempt_headers import added_headers
 from .attempt_recording import SentAttempt, record_attempt_outcome
-from .body import RequestBody, is_body_too_large
+from .body import RequestBody, is_body_too_large, lift_body_limit
 from .claiming import claim_key
 from .context import RequestContext
 from .deadline import Deadline, request_timeout
@@ -133,7 +133,7 @@
             case NoRoute():
                 self.refuse(404, "no service for this path")
             case Route() as route:
-                self._start_on_route(route)
+                self._start_on_route(lift_body_limit(route, self._origin))
 
     def _start_on_route(self, route: Route) -> None:
         context = self._context
