Show with random sequences that valid requests get no 4xx of our own

Change: tests only. Sequences of one to five valid requests (methods, absolute targets, chunks with extensions and trailers, Expect, whitespace, empty lines, a closing or HTTP/1.0 request last) are sent in up to nine parts with pauses, to instances that are healthy, slow, shed, fail, reset, cut short, garble, stay silent or answer before they have the body; the configuration arrives and the graceful stop begins between parts; with the settings of both daemons. No answer is a 4xx, none is counted as a framing error, answers come in order and none is missing on an open connection. Callers that wait for 100 before they send a body are not read wrongly after another answer.

--- a/src/galenaferry/requests/tests/builders.py
+++ b/src/galenaferry/requests/tests/builders.py
@@ -11,7 +11,10 @@
 from galenaferry.configuration.compact import Configuration
 from galenaferry.configuration.document import parse_sections
 from galenaferry.framing.limits import CallerLimits
+from galenaferry.framing.requests import RequestLimits, RequestReader
+from galenaferry.network.listener import Listener
 from galenaferry.network.loop import Loop
+from galenaferry.network.stream import Stream
 from galenaferry.requests.component import RequestsComponent
 from galenaferry.requests.context import RequestContext
 from galenaferry.routing.hosts import HostRouteTable
@@ -175,18 +178,53 @@
     return BackendMode(work_ms=5.0, **parts)
 
 
-def make_unconfigured_bench(**parts):
+def make_unconfigured_bench(mode=None, **parts):
     """Return a bench whose VM has no configuration yet, and its routes."""
-    bench = Bench(modes=[healthy()], **parts)
+    bench = Bench(modes=[mode or healthy()], **parts)
     routes = HostRouteTable(20, Random(1))
     bench.context.routes = routes
     bench.context.limits = lambda: routes.limits
     return bench, routes
 
 
-def apply_limits(routes, version, **limits):
+def apply_limits(routes, version, total_timeout=4000.0, **limits):
     """Apply a configuration with a route to the bookings and the given limits."""
-    row = host_route("bookings", b"/bookings/", host=b"a")
+    row = host_route("bookings", b"/bookings/", host=b"a", total_timeout=total_timeout)
     routes.replace_if_newer(
         document(version, row)._replace(limits=CallerLimits(**limits))
     )
+
+
+class EarlyConnection:
+    """Connection of an instance that answers a request when it has its head."""
+
+    def __init__(self, loop, sock):
+        self._reader = RequestReader(self, RequestLimits(65_536, 1 << 30))
+        self._stream = Stream(loop, sock, self, is_connecting=False)
+
+    def on_head(self, head):
+        self._stream.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    def on_body(self, data):
+        return
+
+    def on_complete(self):
+        return
+
+    def on_data(self, data):
+        self._reader.feed(data)
+
+    def on_drained(self):
+        return
+
+    def on_ended(self, reason):
+        self._stream.close()
+
+
+def use_early_instance(bench):
+    """Replace the instances of a bench by one that answers before it has a body."""
+    listener = Listener(
+        bench.loop, (LOOPBACK, 0), lambda sock: EarlyConnection(bench.loop, sock)
+    )
+    address = f"{LOOPBACK}:{listener.port}"
+    bench.directory.replace_instances([Instance(address, "bookings", "north", False)])
