Answer methods and versions that the parser doesn't support with 501 and 505

Such requests may be right; this VM merely can't pass them on. Cause: each error of httptools became 400. Change: the four errors that say "not supported" become 501 (method) and 505 (version). Bytes at the start of a request that can't be a method stay 400; where the start can't be seen, since the read began within an earlier request, it is 501. Evidence: test_what_is_not_supported_is_no_fault_of_the_caller and the test of the preface fail before (400 instead of 501 and 505; the case "get" was added after that run) and pass now; test_bytes_that_are_no_request_are_still_called_wrong pins the 400 of other bytes. Tests of framing, requests and routing pass.

--- a/src/galenaferry/framing/requests.py
+++ b/src/galenaferry/framing/requests.py
@@ -1,5 +1,6 @@
 """Incremental parser of the requests on a caller connection, based on httptools."""
 
+import re
 from typing import Final, NamedTuple, Protocol
 
 import httptools
@@ -11,6 +12,14 @@
 """Bytes of a head that do not count toward its limit: the method, the version and the
 separators of ``MAX_HEADER_COUNT`` headers."""
 SUPPORTED_VERSIONS: Final = ("1.0", "1.1")
+STATUS_BY_PARSER_ERROR: Final = {
+    "Invalid method for HTTP/x.x request": 501,
+    "Invalid HTTP version": 505,
+    "Pause on PRI/Upgrade": 505,
+}
+"""Errors of httptools about requests that may be valid but are not supported."""
+METHOD: Final = re.compile(rb"[\r\n]*[!#$%&'*+.^_`|~0-9A-Za-z-]+( |$)")
+"""Begin of bytes that may be a request with a method."""
 
 
 class RequestLimits(NamedTuple):
@@ -88,6 +97,7 @@
             be used for further requests.
         """
         self._began_in_feed = False
+        was_between_requests = not self._is_in_message
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -97,8 +107,12 @@
                 # httptools wraps an exception of a callback; raise the original.
                 raise error.__context__ or error from None
             raise self._error from None
+        except httptools.HttpParserInvalidMethodError as error:
+            is_wrong = was_between_requests and not METHOD.match(data)
+            raise FramingError(400 if is_wrong else 501, str(error)) from None
         except httptools.HttpParserError as error:
-            raise FramingError(400, str(error)) from None
+            text = str(error)
+            raise FramingError(STATUS_BY_PARSER_ERROR.get(text, 400), text) from None
         is_in_head = self._is_in_message and not self._is_head_complete
         if is_in_head and not self._began_in_feed:
             # httptools reports a header only when it is complete. Counting the fed
--- a/src/galenaferry/framing/tests/test_valid_requests.py
+++ b/src/galenaferry/framing/tests/test_valid_requests.py
@@ -4,6 +4,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from galenaferry.framing.messages import FramingError
 from galenaferry.framing.requests import RequestLimits, RequestReader
 from galenaferry.framing.tests.builders import (
     MAX_BODY_BYTES,
@@ -45,6 +46,36 @@
     assert reader.heads[0].expects_continue
 
 
+@pytest.mark.parametrize(
+    ("method", "version", "status"),
+    [
+        ("BREW", "1.1", 501),
+        ("get", "1.1", 501),
+        ("VERSION-CONTROL", "1.1", 501),
+        ("DESCRIBE", "1.1", 501),
+        ("GET", "1.2", 505),
+        ("GET", "3.0", 505),
+    ],
+)
+def test_what_is_not_supported_is_no_fault_of_the_caller(method, version, status):
+    with pytest.raises(FramingError) as caught:
+        Reader().feed(f"{method} /a HTTP/{version}\r\nHost: a\r\n\r\n".encode())
+    assert caught.value.status == status
+
+
+@pytest.mark.parametrize("raw", [b"\x16\x03\x01", b"{}", b"HTTP/1.1 200 OK\r\n", b"\0"])
+def test_bytes_that_are_no_request_are_still_called_wrong(raw):
+    with pytest.raises(FramingError) as caught:
+        Reader().feed(raw)
+    assert caught.value.status == 400
+
+
+def test_a_caller_that_speaks_http_2_at_once_is_told_the_version():
+    with pytest.raises(FramingError) as caught:
+        Reader().feed(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+    assert caught.value.status == 505
+
+
 def test_a_space_after_a_value_does_not_belong_to_it():
     head = Reader().feed(b"GET /a HTTP/1.1\r\nHost: \ta \t\r\nX: b c \r\n\r\n").heads[0]
     assert head.headers == ((b"host", b"a"), (b"x", b"b c"))
