Find the end of an absolute target's authority at a question mark too

Cause: the path began at the first slash after the scheme, also if that is in the query. Change: the authority ends at the first slash, question mark or number sign (RFC 3986 section 3.2); an empty path becomes "/" before the query. Evidence: two of the four targets in test_a_slash_in_a_query_is_not_taken_for_the_path fail before ("//b/y" and "/" instead of "/?u=http://b/y" and "/?b=1") and pass now. Tests of framing, requests and routing pass.

--- a/src/galenaferry/framing/requests.py
+++ b/src/galenaferry/framing/requests.py
@@ -20,6 +20,8 @@
 """Errors of httptools about requests that may be valid but are not supported."""
 METHOD: Final = re.compile(rb"[\r\n]*[!#$%&'*+.^_`|~0-9A-Za-z-]+( |$)")
 """Begin of bytes that may be a request with a method."""
+AUTHORITY: Final = re.compile(rb"[^/?#]*")
+"""Host and port of an absolute URL, after the scheme."""
 
 
 class RequestLimits(NamedTuple):
@@ -232,8 +234,8 @@
         scheme, colon, rest = target.partition(b"://")
         if not colon or scheme.lower() not in (b"http", b"https"):
             self._refuse(400, "the target is neither a path nor an absolute URL")
-        _, slash, path = rest.partition(b"/")
-        return slash + path or b"/"
+        path = AUTHORITY.sub(b"", rest, count=1)
+        return path if path.startswith(b"/") else b"/" + path
 
     def _expects_continue(self, headers: tuple[Header, ...]) -> bool:
         for name, value in headers:
--- a/src/galenaferry/framing/tests/test_valid_requests.py
+++ b/src/galenaferry/framing/tests/test_valid_requests.py
@@ -76,6 +76,20 @@
     assert caught.value.status == 505
 
 
+@pytest.mark.parametrize(
+    ("target", "path"),
+    [
+        ("http://a/x?u=/y", "/x?u=/y"),
+        ("http://a", "/"),
+        ("http://a?b=1", "/?b=1"),
+        ("http://a?u=http://b/y", "/?u=http://b/y"),
+    ],
+)
+def test_a_slash_in_a_query_is_not_taken_for_the_path(target, path):
+    reader = Reader().feed(f"GET {target} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+    assert reader.heads[0].target == path.encode()
+
+
 def test_a_space_after_a_value_does_not_belong_to_it():
     head = Reader().feed(b"GET /a HTTP/1.1\r\nHost: \ta \t\r\nX: b c \r\n\r\n").heads[0]
     assert head.headers == ((b"host", b"a"), (b"x", b"b c"))
