Read Expect as a list, and refuse only members other than 100-continue

Cause: the whole value was compared with 100-continue. RFC 9110 section 10.1.1 makes it a list and permits 417 for another member only; recipients take empty members (section 5.6.1). Change: the members are compared one by one. Evidence: the four values of test_a_list_of_expectations_without_a_strange_one_is_not_refused fail before with 417 and pass now; lists with another member still get 417 (test). Tests of framing, requests and routing pass.

--- a/src/galenaferry/framing/requests.py
+++ b/src/galenaferry/framing/requests.py
@@ -238,9 +238,11 @@
         return path if path.startswith(b"/") else b"/" + path
 
     def _expects_continue(self, headers: tuple[Header, ...]) -> bool:
+        is_expected = False
         for name, value in headers:
             if name == b"expect":
-                if value.lower() != b"100-continue":
+                members = {member.strip().lower() for member in value.split(b",")}
+                if members - {b"", b"100-continue"}:
                     self._refuse(417, "only Expect: 100-continue is supported")
-                return True
-        return False
+                is_expected |= b"100-continue" in members
+        return is_expected
--- a/src/galenaferry/framing/tests/test_valid_requests.py
+++ b/src/galenaferry/framing/tests/test_valid_requests.py
@@ -90,6 +90,23 @@
     assert reader.heads[0].target == path.encode()
 
 
+@pytest.mark.parametrize(
+    "value", ["", " ", "100-continue,", "100-continue, 100-Continue"]
+)
+def test_a_list_of_expectations_without_a_strange_one_is_not_refused(value):
+    raw = f"POST /a HTTP/1.1\r\nHost: a\r\nExpect:{value}\r\n\r\n"
+    head = Reader().feed(raw.encode()).heads[0]
+    assert head.expects_continue == ("100" in value)
+
+
+@pytest.mark.parametrize("value", ["cake", "100-continue, cake"])
+def test_a_list_of_expectations_with_a_strange_one_is_still_refused(value):
+    raw = f"POST /a HTTP/1.1\r\nHost: a\r\nExpect: {value}\r\n\r\n"
+    with pytest.raises(FramingError) as caught:
+        Reader().feed(raw.encode())
+    assert caught.value.status == 417
+
+
 def test_a_space_after_a_value_does_not_belong_to_it():
     head = Reader().feed(b"GET /a HTTP/1.1\r\nHost: \ta \t\r\nX: b c \r\n\r\n").heads[0]
     assert head.headers == ((b"host", b"a"), (b"x", b"b c"))
