Call no request too large while the configuration may be out of date

Cause: limits were taken for certain whenever there was a configuration. Change: a VM that isn't sure to have the newest configuration holds to its limits, but answers 503, not run, with a Retry-After. Evidence: the new test fails in its three cases without the change (431, 413, 413).

--- a/src/galenaferry/requests/body.py
+++ b/src/galenaferry/requests/body.py
@@ -1,9 +1,11 @@
 """A request body between the caller and the attempts: buffer and limit."""
 
 import sys
+from collections.abc import Callable
 from typing import Final
 
 from ..crashes.fingerprint import body_digest
+from ..framing.limits import CallerLimits
 from ..framing.messages import RequestHead
 from ..relay.origin import Origin
 from ..routing.table import Route
@@ -99,6 +101,14 @@
             return True
 
 
+def refuse_body(limits: CallerLimits, refuse: Callable[[int, str], None]) -> None:
+    """Refuse a body beyond the limits, which may have been raised meanwhile."""
+    if limits.is_known:
+        refuse(413, "the body is too large")
+    else:
+        refuse(503, "the limits are not known yet: the body is too large")
+
+
 def lift_body_limit(route: Route, origin: Origin) -> Route:
     """Return the route, without its body limit for a request of another VM.
 
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -35,7 +35,7 @@
 from .attempt import Attempt
 from .attempt_headers import added_headers
 from .attempt_recording import SentAttempt, record_attempt_outcome
-from .body import RequestBody, is_body_too_large, lift_body_limit
+from .body import RequestBody, is_body_too_large, lift_body_limit, refuse_body
 from .claiming import claim_key
 from .context import RequestContext
 from .deadline import Deadline, request_timeout
@@ -142,7 +142,7 @@
             self.refuse(404, "no service for this path")
             return
         if self.head.length and self.head.length > route.policy.max_body_bytes:
-            self.refuse(413, "the body is too large")
+            refuse_body(context.limits(), self.refuse)
             return
         self._route = route
         settings = context.settings
@@ -171,7 +171,7 @@
             return
         self.body.append(data)
         if is_body_too_large(self._context.routes, self._route, self.head, self.body):
-            self.refuse(413, "the body is too large")
+            refuse_body(self._context.limits(), self.refuse)
             return
         self._gate.on_body()
         if self._attempt is not None:
--- a/src/galenaferry/requests/tests/builders.py
+++ b/src/galenaferry/requests/tests/builders.py
@@ -178,10 +178,10 @@
     return BackendMode(work_ms=5.0, **parts)
 
 
-def make_unconfigured_bench(mode=None, **parts):
+def make_unconfigured_bench(mode=None, is_current=lambda: True, **parts):
     """Return a bench whose VM has no configuration yet, and its routes."""
     bench = Bench(modes=[mode or healthy()], **parts)
-    routes = HostRouteTable(20, Random(1))
+    routes = HostRouteTable(20, Random(1), is_current)
     bench.context.routes = routes
     bench.context.limits = lambda: routes.limits
     return bench, routes
--- a/src/galenaferry/requests/tests/test_changing_limits.py
+++ b/src/galenaferry/requests/tests/test_changing_limits.py
@@ -149,3 +149,19 @@
         sent += 1_000
         bench.run_for(2.0, caller)
     assert sent <= DEFAULT_HEAD_BYTES + 5_000
+
+
+@pytest.mark.parametrize("kind", ["head", "length", "chunks"])
+def test_a_vm_that_may_lack_raised_limits_does_not_call_a_request_too_large(kind):
+    bench, routes = make_unconfigured_bench(is_current=lambda: False)
+    apply_limits(routes, 1, head_bytes=2_000, body_bytes=1_000)
+    caller = bench.caller()
+    if kind == "head":
+        caller.get("/bookings/x", large_header(9_000))
+    elif kind == "length":
+        caller.post("/bookings/x", b"x" * 5_000)
+    else:
+        caller.send(chunked_head(b"/bookings/x") + chunk(5_000) + b"0\r\n\r\n")
+    status, headers, _ = caller.answers()[0]
+    assert (status, headers["galenaferry-ran"]) == (503, "not-run")
+    assert "retry-after" in headers
--- a/src/galenaferry/routing/hosts.py
+++ b/src/galenaferry/routing/hosts.py
@@ -111,8 +111,11 @@
 
     @property
     def limits(self) -> CallerLimits:
-        """Limits on the requests of callers."""
-        return UNKNOWN_LIMITS if self._document is None else self._document.limits
+        """Limits on the requests of callers, which may have been raised meanwhile."""
+        if self._document is None:
+            return UNKNOWN_LIMITS
+        limits = self._document.limits
+        return limits if self._is_current() else limits._replace(is_known=False)
 
     def replace_if_newer(self, document: RoutingDocument) -> bool:
         """Apply a newer version; return False if ``document`` is not newer."""
