Give up connections to other VMs and the store that aren't established soon

Cause: while machines are replaced in turn, a VM asks one that is just gone; its connection hangs, and the whole second passes before another is asked (60 fetches with 0 bytes received in 1,000 ms there). A new read of a store that doesn't answer took 4.5 s to fail. Change: 300 ms for a connection to another VM, 1.5 s for one to the store.

--- a/src/galenaferry/discovery/peer_updates.py
+++ b/src/galenaferry/discovery/peer_updates.py
@@ -25,6 +25,9 @@
 TIMEOUT_MS: Final = 1_000.0
 """Longest silence of a VM that is asked: some round trips between the most distant
 zones and a lost packet."""
+CONNECT_TIMEOUT_MS: Final[Millis] = 300.0
+"""Time for a connection to another VM: some round trips, but no repeated SYN packet,
+since another VM can be asked as well."""
 PATH_PREFIX: Final = "/tables/"
 COMPRESSED_PARAMETER: Final = "compressed"
 """Query parameter of a VM that reads compressed values; earlier versions ignore it."""
@@ -87,7 +90,12 @@
         f"&{COMPRESSED_PARAMETER}=1"
     )
     request = FetchRequest(
-        (host, int(port)), "GET", target, timeout=timeout, stall_timeout=timeout
+        (host, int(port)),
+        "GET",
+        target,
+        timeout=timeout,
+        stall_timeout=timeout,
+        connect_timeout=CONNECT_TIMEOUT_MS,
     )
 
     def finish(result: FetchResult) -> None:
--- a/src/galenaferry/network/fetch.py
+++ b/src/galenaferry/network/fetch.py
@@ -23,7 +23,8 @@
     ``timeout`` limits the time until the whole response is received. With a
     ``stall_timeout`` it limits the time until the first part of the response, and the
     time between two parts is limited by ``stall_timeout``: a large response on a slow
-    link then takes as long as it needs, up to ``MAX_TRANSFER_MS``.
+    link then takes as long as it needs, up to ``MAX_TRANSFER_MS``. ``connect_timeout``
+    limits the time until the connection is established.
     """
 
     address: tuple[str, int]
@@ -33,6 +34,7 @@
     body: bytes = b""
     timeout: Millis = 2000.0
     stall_timeout: Millis | None = None
+    connect_timeout: Millis | None = None
 
 
 class FetchResponse(NamedTuple):
@@ -86,10 +88,14 @@
         self._loop = loop
         self._started_at = loop.clock.now()
         self._received_at = self._started_at
+        self._is_connected = False
         self._timer: Timer = loop.after(request.timeout, self._on_timeout)
+        if request.connect_timeout is not None:
+            loop.after(request.connect_timeout, self._check_connected)
         self._stream: Stream = connect(loop, request.address, self)
 
     def on_connected(self) -> None:
+        self._is_connected = True
         request = self._request
         host = f"{request.address[0]}:{request.address[1]}"
         lines = [f"{request.method} {request.target} HTTP/1.1".encode()]
@@ -131,6 +137,10 @@
         body = b"".join(self._body)
         self._finish(Ok(FetchResponse(self._head.status, self._head.headers, body)))
 
+    def _check_connected(self) -> None:
+        if not self._is_connected:
+            self._fail(f"no connection within {self._request.connect_timeout:.0f} ms")
+
     def _on_timeout(self) -> None:
         now = self._loop.clock.now()
         stall_timeout = self._request.stall_timeout
--- a/src/galenaferry/platform/store.py
+++ b/src/galenaferry/platform/store.py
@@ -25,6 +25,8 @@
 
 TIMEOUT_MS: Final = 2_000.0
 """Timeout of a call; the store responds in 4 ms, or 60 times that when it is slow."""
+CONNECT_TIMEOUT_MS: Final = 1_500.0
+"""Time for a connection to the store, in which a lost SYN packet is repeated once."""
 STALL_TIMEOUT_MS: Final = 1_000.0
 """Longest silence in the midst of a response."""
 HISTORY_LOST_STATUS: Final = 410
@@ -207,6 +209,7 @@
                 target,
                 timeout=timeout,
                 stall_timeout=STALL_TIMEOUT_MS,
+                connect_timeout=CONNECT_TIMEOUT_MS,
             ),
             done,
         )
