Don't pass on the rejection of a VM that may lack the route

Cause: of a relay VM's own answers only 503 counted as its own; a 4xx was passed on as an instance's answer, though the first VM knew the route. Change: a 4xx that a relay VM marks as not run, and that names no instance, counts as its refusal: another VM is asked, and without one the caller gets 503, not run. Evidence: the new test fails for 403, 404 and 413 without the change; the second new test holds an instance's 404 as it was.

--- a/src/galenaferry/requests/interface.py
+++ b/src/galenaferry/requests/interface.py
@@ -9,6 +9,7 @@
 from ..attempts.outcomes import MISDIRECTED_STATUS, classify_status
 from ..clock import Millis
 from ..framing.messages import Header, ResponseHead
+from ..relay.answers import read_instance_key
 from .messages import (
     ATTEMPT_HEADER,
     DRAINING_HEADER,
@@ -19,6 +20,7 @@
 
 RELAY_REFUSAL_STATUS: Final = 503
 """Status with which a relay VM refuses a request that it sent to no instance."""
+FIRST_REJECTION_STATUS: Final = 400
 FIRST_FAULT_STATUS: Final = 500
 DEFAULT_CERTIFYING_STATUSES: Final = frozenset((503,))
 """Statuses with which an instance can certify that it did not execute a request."""
@@ -110,8 +112,13 @@
     """
     if not is_relay:
         return classify_status(head.status, is_certified_not_run(settings, head))
-    ran = head.header(RAN_HEADER)
-    if head.status == RELAY_REFUSAL_STATUS and ran == Execution.NOT_RUN.value.encode():
+    is_not_run = head.header(RAN_HEADER) == Execution.NOT_RUN.value.encode()
+    # This VM accepted the request, so the other one may lack a route, a limit or a key.
+    is_rejected = (
+        FIRST_REJECTION_STATUS <= head.status < FIRST_FAULT_STATUS
+        and read_instance_key(head) is None
+    )
+    if is_not_run and (head.status == RELAY_REFUSAL_STATUS or is_rejected):
         return RelayRefused(head.status)
     is_signed = head.header(settings.names.signature) is not None
     return Relayed(head.status, is_signed and head.status < FIRST_FAULT_STATUS)
--- a/src/galenaferry/requests/tests/test_interface.py
+++ b/src/galenaferry/requests/tests/test_interface.py
@@ -2,10 +2,12 @@
 
 import pytest
 
+from galenaferry.attempts.messages import Relayed, RelayRefused
 from galenaferry.framing.messages import ResponseHead
 from galenaferry.requests.interface import (
     HeaderNames,
     RequestSettings,
+    classify_response,
     find_response_error,
     is_certified_not_run,
 )
@@ -101,3 +103,20 @@
     bench.run(lambda: bench.component.in_flight == 0, caller)
     assert bench.context.counters.callers_left == 1
     assert sum(p.open_count for p in bench.directory.pool_by_address.values()) == 0
+
+
+@pytest.mark.parametrize("status", [403, 404, 413, 503])
+def test_a_relay_vm_that_sent_a_request_to_no_instance_does_not_reject_it(status):
+    refusal = head(status, galenaferry_ran=b"not-run")
+    assert classify_response(SETTINGS, refusal, is_relay=True) == RelayRefused(status)
+
+
+def test_an_instance_rejects_a_request_by_way_of_a_relay_vm():
+    answer = head(
+        404, signature=b"s", galenaferry_relayed_instance=b"%016x" % 1, not_run=b"1"
+    )
+    assert classify_response(SETTINGS, answer, is_relay=True) == Relayed(404, True)
+    claimed = answer._replace(
+        headers=(*answer.headers, (b"galenaferry-ran", b"not-run"))
+    )
+    assert classify_response(SETTINGS, claimed, is_relay=True) == Relayed(404, True)
