Tell a zone what its readers learn from others before their next read

Cause: since a reader leaves a pending read alone that starts from a copy with the news, it no longer sent that news on either, and such a read doesn't return it. It concerns a reader that hears of a change while its next read waits for further ones, and one that the store turns away and that tries again within 0.35 s: with both readers of a zone so, no VM of the zone was told. Change: the news is sent on, once for each version, and the read is left alone as before. Evidence: both new tests see no notice without the change. The existing test of a waiting read answers it with rows that a store wouldn't return, so it passed with the fault.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -172,6 +172,8 @@
         # the pending read returns changes.
         self._read_version = NO_VERSION
         self._reads_after = NO_VERSION
+        # Newest version whose changes this VM has broadcast as a reader.
+        self._told_version = NO_VERSION
         self._error_count = 0
         # The store's version grows with changes of any table. This one grows only with
         # changes of this table; it is announced, so that other VMs fetch only then.
@@ -286,22 +288,27 @@
         """
         if not self._is_reading or self._read_version >= notice.version:
             return
-        if self._reads_after >= notice.version:
-            return
         if self.version < notice.version:
             self._fetch_if_behind()
             return
+        self._forward(notice)
+        if self._reads_after >= notice.version:
+            # The pending read starts from this change, and won't return it.
+            return
         log.warning(
             "the read from the store missed changes; reading again",
             table=self._settings.table,
             read_version=tuple(self._read_version),
             version=tuple(notice.version),
         )
-        self._forward(notice)
         self._read()
 
     def _forward(self, notice: TableNotice) -> None:
+        """Send a notice to this VM's zone, once for each version."""
+        if notice.version <= self._told_version:
+            return
         if self._settings.is_shared and self._is_designated_reader():
+            self._told_version = notice.version
             self._broadcast(notice)
 
     def _catch_up(self) -> None:
@@ -528,6 +535,7 @@
             and size <= MAX_NOTICE_BYTES
         )
         rows = update.rows if fits_notice else ()
+        self._told_version = max(self._told_version, update.version)
         self._broadcast(self._make_notice(update.version, rows))
 
     def _on_error(self, error: TableError) -> None:
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -497,3 +497,27 @@
     assert bench.follower.is_confirmed
     bench.follower.refresh()
     assert not bench.follower.is_confirmed
+
+
+def test_news_that_a_reader_knows_before_its_next_read_reaches_its_zone():
+    # The store returns no rows for a read that starts from the news itself.
+    bench = FollowerBench(is_shared=True, coalescing_delay=400.0)
+    bench.source.answer(table_update(10, True, config=b"one"))
+    bench.run_for(ROLE_DELAY_MS + 5.0)
+    bench.source.answer(table_update(11, other=b"x"))
+    for number in range(1, 5):
+        notice = TableNotice(at(11), at(12), TWO)
+        bench.follower.on_notice(f"10.0.{number}.1:7000", notice)
+    bench.run_for(700.0)
+    assert bench.source.calls[-1][:2] == ("changes", at(12))
+    assert [n.version for n in bench.notices if n.rows == TWO] == [at(12)]
+
+
+def test_a_reader_that_the_store_turns_away_tells_its_zone_what_others_read():
+    bench = make_reader()
+    bench.source.fail()
+    bench.follower.on_notice("10.0.9.1:7000", TableNotice(at(10), at(12), TWO))
+    for _ in range(8):
+        bench.run_for(50.0)
+        bench.source.fail()
+    assert [n.version for n in bench.notices if n.rows == TWO] == [at(12)]
