Start neither reads nor fetches of the same news beside each other

Cause: (1) a failed fetch started a read from the store that the next check of the VM's role, 250 ms later at most, dropped as not needed; the transfer went on, and the next failed fetch started another one: 10 reads of one document in 2.5 s. (2) A read of news was dropped 3 s after its start, whatever had come, and started again beside the old transfer: 3 in 9 s. (3) Each failed fetch had a retry of its own, so that each notice and heartbeat added one that went on for ever: with one notice a second, 8 fetches a second after 30 s. Change: a read for news lasts until its result or error as long as the news is missing; its transfer is limited by silence and 15 s, as others are. There is one timer for the retry. Evidence: the three new tests fail without the change.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -58,8 +58,6 @@
 NEWS_READ_DELAY_MS: Final = 1_000.0
 """Time in which other VMs should send changes of which a notice told, before the store
 is asked as well."""
-NEWS_READ_MS: Final = 3_000.0
-"""Time for such a read from the store; a large row on a slow link needs a second."""
 PEER_RETRY_MS: Final = 50.0
 """Delay after a failed fetch before another VM is asked; it doubles with each further
 one."""
@@ -146,9 +144,11 @@
         self._broadcast = broadcast
         self._reader_seen_at: Millis = -math.inf
         self._starts_reading_at: Millis = -math.inf
-        self._news_read_until: Millis = -math.inf
+        # Whether the pending read is to return news that other VMs have not sent.
+        self._is_news_read = False
         self._is_fetch_due = False
         self._peer_retry_delay = PEER_RETRY_MS
+        self._peer_retry: Timer | None = None
         self._is_news_read_due = False
         self._is_reading = False
         self._history = TableHistory()
@@ -330,7 +330,7 @@
     def _read_news(self) -> None:
         self._is_news_read_due = False
         if self.is_behind and not self._is_reading:
-            self._news_read_until = self._loop.clock.now() + NEWS_READ_MS
+            self._is_news_read = True
             self._read()
 
     def update_since(self, after: StoreVersion) -> TableUpdate:
@@ -351,7 +351,7 @@
             self._is_reading
             and not needs_read
             and self.is_loaded
-            and self._loop.clock.now() >= self._news_read_until
+            and not (self._is_news_read and self.is_behind)
         ):
             self._stop_reading()
 
@@ -365,6 +365,7 @@
 
     def _stop_reading(self) -> None:
         self._is_reading = False
+        self._is_news_read = False
         self._error_count = 0
         self.is_store_unavailable = False
         # Ignore the result of the pending read.
@@ -424,6 +425,7 @@
             )
             self._retry_fetch(address)
             if self._settings.is_shared and not self._is_reading:
+                self._is_news_read = True
                 self._read()
             return
         update = result.ok_value
@@ -451,7 +453,11 @@
     def _retry_fetch(self, address: str) -> None:
         """Ask another VM soon, later after each further failure in a row."""
         self._sources.on_failure(address, self._loop.clock.now())
-        self._loop.after(self._peer_retry_delay, self._fetch_if_behind)
+        if self._peer_retry is not None:
+            self._peer_retry.cancel()
+        self._peer_retry = self._loop.after(
+            self._peer_retry_delay, self._fetch_if_behind
+        )
         self._peer_retry_delay = min(MAX_PEER_RETRY_MS, 2.0 * self._peer_retry_delay)
 
     def _read(self) -> None:
@@ -501,7 +507,7 @@
                 # The notice starts at ``last_change_version``, which ``_apply`` sets.
                 self._broadcast_update(update)
                 self._apply(update)
-                self._news_read_until = -math.inf
+                self._is_news_read = False
                 if not self._needs_own_read():
                     # It was read once for news of it.
                     self._stop_reading()
@@ -540,6 +546,7 @@
 
     def _on_error(self, error: TableError) -> None:
         self._error_count += 1
+        self._is_news_read = False
         if self.is_outage_confirmed:
             self.failed_at = self._loop.clock.now()
         if not self.is_store_unavailable:
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -254,6 +254,14 @@
     assert len(bench.peer_fetches) == 1
 
 
+def test_a_read_of_news_that_takes_long_is_not_started_again_beside_itself():
+    bench = make_vm_with_news()
+    deliver_notices(bench, NEWS_READ_DELAY_MS + 8_000.0, version=12)
+    assert len(bench.source.calls) == 1
+    bench.source.answer(table_update(12, config=b"two"))
+    assert bench.follower.version == at(12)
+
+
 def test_a_slow_read_of_news_is_not_given_up():
     bench = make_vm_with_news()
     deliver_notices(bench, NEWS_READ_DELAY_MS + 2_500.0, version=12)
@@ -521,3 +529,37 @@
         bench.run_for(50.0)
         bench.source.fail()
     assert [n.version for n in bench.notices if n.rows == TWO] == [at(12)]
+
+
+def refuse_fetches(bench, answered):
+    """Let all fetches fail that were not answered yet; return their number."""
+    while answered < len(bench.peer_fetches):
+        bench.peer_fetches[answered][1](Err(TableError("ECONNREFUSED")))
+        answered += 1
+    return answered
+
+
+def test_failing_fetches_do_not_start_several_reads_of_the_same_news():
+    # A read that is no longer needed goes on to its end on the VM's link.
+    bench = make_vm_with_news()
+    answered = 0
+    for _ in range(25):
+        deliver_notices(bench, 100.0, version=12)
+        answered = refuse_fetches(bench, answered)
+    assert answered > 3
+    assert len(bench.source.calls) == 1
+
+
+def test_failing_fetches_are_not_repeated_more_often_with_each_notice():
+    bench = make_vm_with_news()
+    answered = 0
+    counts = []
+    for _ in range(30):
+        bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(12), at(12), ()))
+        before = answered
+        for _ in range(100):
+            bench.run_for(10.0)
+            answered = refuse_fetches(bench, answered)
+        counts.append(answered - before)
+    # One after the notice and one after the longest delay, if the edges coincide two.
+    assert max(counts[10:]) <= 3
