Ask the store at once where a copy's confirmation would get too old

What callers saw: 503 in place of 404 for paths that have no route, for a second or more, from the whole zone whose readers the store turns away; the fleet as a whole is well. Cause: since requests without a route are refused where the store was not heard of for 5 s, a VM that takes over as a reader after 1.5 s without notices starts with a poll of 2.5 s, and the copies are up to 3.5 s old by then. Change: a read that follows no answer asks for one at once if the copy would be over 5 s old at the end of a poll; the next one polls. This is one more call of a VM that takes over, that was paused or that comes back after errors.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -461,7 +461,20 @@
         self._peer_retry_delay = min(MAX_PEER_RETRY_MS, 2.0 * self._peer_retry_delay)
 
     def _read(self) -> None:
-        """Start a read; the result of an earlier pending one is ignored."""
+        """Start a read, which lets the store wait for changes if there is time.
+
+        A copy whose confirmation would get too old meanwhile needs an answer at once.
+        """
+        age = self._loop.clock.now() - self._confirmed_at
+        has_time = age + LONG_POLL_MS <= MAX_CONFIRMATION_AGE_MS
+        self._start_read(LONG_POLL_MS if has_time else 0.0)
+
+    def _poll(self) -> None:
+        """Start the read after one that was answered."""
+        self._start_read(LONG_POLL_MS)
+
+    def _start_read(self, wait: Millis) -> None:
+        """Start a read; an earlier pending one no longer counts, unless it has news."""
         self._is_reading = True
         self._read_number += 1
         read_number = self._read_number
@@ -480,7 +493,7 @@
         if self._needs_full_read:
             self._source.read_all(table, done)
         else:
-            self._source.read_changes(table, self.version, LONG_POLL_MS, done)
+            self._source.read_changes(table, self.version, wait, done)
 
     def _on_result(self, result: Result[TableUpdate | HistoryLost, TableError]) -> None:
         if isinstance(result, Err):
@@ -515,7 +528,7 @@
                 delay = self._settings.coalescing_delay if update.rows else 0.0
                 if is_first and self._settings.is_shared:
                     delay = max(delay, ROLE_DELAY_MS)
-                self._schedule_read(delay)
+                self._schedule_read(delay, self._poll)
 
     def _on_late_result(
         self, result: Result[TableUpdate | HistoryLost, TableError]
@@ -558,13 +571,13 @@
             )
         wait = self._backoff * (0.5 + self._random.random())
         self._backoff = min(MAX_BACKOFF_MS, 2.0 * self._backoff)
-        self._schedule_read(wait)
+        self._schedule_read(wait, self._read)
 
-    def _schedule_read(self, wait: Millis) -> None:
+    def _schedule_read(self, wait: Millis, read: Callable[[], None]) -> None:
         if wait <= 0.0:
-            self._loop.call_soon(self._read)
+            self._loop.call_soon(read)
         else:
-            self._timer = self._loop.after(wait, self._read)
+            self._timer = self._loop.after(wait, read)
 
     def _apply(self, update: TableUpdate) -> bool:
         """Apply an update; return whether any row changed.
--- a/src/galenaferry/node/tests/test_configuration_fleet.py
+++ b/src/galenaferry/node/tests/test_configuration_fleet.py
@@ -131,3 +131,18 @@
     acked_at = fleet.change(5, 100)
     fleet.run(APPLY_MS)
     assert fleet.late(5, acked_at, APPLY_MS) == []
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_vms_stay_sure_where_the_store_turns_the_readers_of_their_zone_away(
+    monkeypatch, seed
+):
+    fleet = make_fleet(monkeypatch, seed=seed)
+    fleet.store.refused = {
+        vm.host for vm in fleet.in_zone("zone-0") if vm._is_designated_reader()
+    }
+    unknown = fleet.head_of_new_route._replace(target=b"/none/")
+    for _ in range(500):
+        fleet.run(20.0)
+        unsure = [vm for vm in fleet.vms if vm.routes.route(unknown) != NoRoute()]
+        assert unsure == []
