Let news that no VM repeats expire, and don't let a lagging store confirm

(1) Every request without a route would be refused with 503 until the VM's restart where it has once heard of a version that no VM has: of the table, from one wrong datagram; of the configuration in force, from a VM that left while the store was restored to an older copy. (2) A store that answers with an older version than the copy has confirmed the copy, and so 404s. Cause: the newest version heard was kept for ever; the version of an answer wasn't looked at. A 404 still needs the store's confirmation of the last 5 s. An answer older than the copy confirms nothing. Evidence: three of the new tests fail with either part switched off; the fourth holds that repeated news goes on to count.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -29,6 +29,7 @@
     TableSource,
     TableUpdate,
 )
+from .news import News
 from .readers import ANNOUNCE_INTERVAL_MS, needs_own_read
 from .sources import PeerSources
 
@@ -164,8 +165,7 @@
         self._is_fetching = False
         self._timer: Timer | None = None
         self.version = NO_VERSION
-        # Newest version of this table that another VM has told of.
-        self._newest_heard = NO_VERSION
+        self._news = News(NO_VERSION)
         # Latest time at which the store is known to have had no newer changes.
         self._confirmed_at: Millis = -math.inf
         # Version of the latest result of this VM's own reads, and the one after which
@@ -196,8 +196,8 @@
 
     @property
     def is_behind(self) -> bool:
-        """Whether another VM has told of changes that this copy lacks."""
-        return self._newest_heard > self.version
+        """Whether another VM has lately told of changes that this copy lacks."""
+        return self._news.is_newer_than(self.version, self._loop.clock.now())
 
     @property
     def is_outage_confirmed(self) -> bool:
@@ -252,7 +252,7 @@
         self._confirmed_at = max(self._confirmed_at, self._loop.clock.now() - age)
 
     def _on_version_heard(self, address: str, version: StoreVersion) -> None:
-        self._newest_heard = max(self._newest_heard, version)
+        self._news.on_version(version, self._loop.clock.now())
         self._sources.on_version(address, version)
 
     def on_notice(self, address: str, notice: TableNotice) -> None:
@@ -515,7 +515,8 @@
             case TableUpdate() as update:
                 self._needs_full_read = False
                 self._read_version = update.version
-                self._confirmed_at = self._loop.clock.now()
+                if update.version >= self.version:
+                    self._confirmed_at = self._loop.clock.now()
                 is_first = not self.is_loaded
                 # The notice starts at ``last_change_version``, which ``_apply`` sets.
                 self._broadcast_update(update)
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -15,6 +15,7 @@
 )
 from galenaferry.discovery.history import TableHistory
 from galenaferry.discovery.messages import TableError, TableNotice, TableRow
+from galenaferry.discovery.news import MAX_NEWS_AGE_MS
 from galenaferry.discovery.readers import (
     MIN_READERS,
     READER_TIMEOUT_MS,
@@ -563,3 +564,39 @@
         counts.append(answered - before)
     # One after the notice and one after the longest delay, if the edges coincide two.
     assert max(counts[10:]) <= 3
+
+
+def test_a_store_that_lags_behind_does_not_confirm_a_newer_copy():
+    bench = make_reader()
+    notice = TableNotice(at(10), at(12), TWO, confirmed_ago=0.0)
+    bench.follower.on_notice("10.0.9.1:7000", notice)
+    bench.run_for(MAX_CONFIRMATION_AGE_MS + 10.0)
+    bench.source.answer(table_update(11))
+    assert not bench.follower.is_confirmed
+    bench.run_for(10.0)
+    bench.source.answer(table_update(12))
+    assert bench.follower.is_confirmed
+
+
+def test_a_version_that_no_vm_has_does_not_keep_a_copy_unconfirmed_for_ever():
+    bench = make_non_reader()
+    bench.follower.on_peer_version("10.0.0.9:7000", at(50))
+    answered = 0
+    while not bench.follower.is_confirmed:
+        deliver_notices(bench, 200.0)
+        answered = refuse_fetches(bench, answered)
+        if bench.follower._is_reading:
+            bench.source.answer(table_update(20))
+        assert bench.clock.now() < 2.0 * MAX_NEWS_AGE_MS
+    deliver_notices(bench, 5_000.0)
+    asked = len(bench.peer_fetches), len(bench.source.calls)
+    deliver_notices(bench, 20_000.0)
+    assert (len(bench.peer_fetches), len(bench.source.calls)) == asked
+
+
+def test_a_vm_stays_behind_while_others_repeat_what_it_lacks():
+    bench = make_non_reader()
+    for _ in range(10):
+        bench.follower.on_peer_version("10.0.0.9:7000", at(50))
+        deliver_notices(bench, 0.2 * MAX_NEWS_AGE_MS)
+        assert bench.follower.is_behind
--- a/src/galenaferry/node/configuration.py
+++ b/src/galenaferry/node/configuration.py
@@ -19,6 +19,7 @@
     TableRow,
     TableUpdate,
 )
+from ..discovery.news import News
 from ..logs import logger
 from ..network.loop import Loop
 from ..routing.hosts import HostRouteTable
@@ -118,16 +119,17 @@
         self._version_in_force = version_in_force
         self._on_rows = on_rows
         self._is_pending = False
-        self._newest_heard = 0
+        self._news = News(0)
 
     @property
     def is_behind(self) -> bool:
-        """Whether another VM has a newer version in force, as far as is known."""
-        return self._newest_heard > self._version_in_force()
+        """Whether another VM has lately told of a newer version in force."""
+        now = self._loop.clock.now()
+        return self._news.is_newer_than(self._version_in_force(), now)
 
     def on_peer_version(self, address: str, version: int) -> None:
         """Handle the version that the VM at ``address`` has in force."""
-        self._newest_heard = max(self._newest_heard, version)
+        self._news.on_version(version, self._loop.clock.now())
         if version <= self._version_in_force() or self._is_pending:
             return
         self._is_pending = True
--- a/src/galenaferry/node/tests/test_configuration.py
+++ b/src/galenaferry/node/tests/test_configuration.py
@@ -6,6 +6,7 @@
 
 from galenaferry.clock import FakeClock
 from galenaferry.discovery.messages import NO_VERSION, TableError, TableRow
+from galenaferry.discovery.news import MAX_NEWS_AGE_MS
 from galenaferry.network.loop import Loop
 from galenaferry.node.configuration import (
     FETCH_DELAY_MS,
@@ -104,3 +105,14 @@
     bench.peers.on_peer_version("10.0.0.2:7000", 9)
     bench.run_for(FETCH_DELAY_MS + 20.0)
     assert len(bench.fetches) == 1
+
+
+def test_a_version_in_force_only_on_a_vm_that_left_does_not_leave_others_behind():
+    bench = ConfigurationBench()
+    bench.updater.on_change((row(5),))
+    bench.peers.on_peer_version("10.0.0.2:7000", 9)
+    assert bench.peers.is_behind
+    bench.run_for(MAX_NEWS_AGE_MS)
+    bench.peers.on_peer_version("10.0.0.3:7000", 5)
+    bench.run_for(100.0)
+    assert not bench.peers.is_behind
