Don't read all rows again that another VM sent to a VM that starts

What callers saw: nothing directly; a VM that starts got the whole configuration twice from the store and once from another VM, at once (797 kB for a document of 374 kB in the fleet test's setting, on its own link). Cause: another VM's rows, which come compressed and so first, replaced the pending read by another one of all rows, while the transfer went on. Change: after a whole copy from another VM, the store is asked for the changes after it; a store that no longer has them says so, and is then read whole as before.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -442,6 +442,9 @@
             had=self.version,
         )
         has_changed = self._apply(update)
+        if update.is_snapshot:
+            # The store has the changes after it, or says that it has not.
+            self._needs_full_read = False
         if has_changed and self._is_reading:
             self._forward(self._make_notice(update.version, ()))
         if has_changed and self._is_reading and not self.is_store_unavailable:
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -600,3 +600,13 @@
         bench.follower.on_peer_version("10.0.0.9:7000", at(50))
         deliver_notices(bench, 0.2 * MAX_NEWS_AGE_MS)
         assert bench.follower.is_behind
+
+
+def test_a_vm_that_starts_does_not_read_all_rows_again_that_another_vm_sent():
+    bench = FollowerBench(is_shared=True)
+    bench.follower.on_peer_version("10.0.0.2:7000", at(12))
+    bench.peer_fetches[0][1](Ok(table_update(12, True, config=b"two")))
+    assert [call[0] for call in bench.source.calls] == ["all", "changes"]
+    assert bench.source.calls[-1][1] == at(12)
+    bench.source.lose_history()
+    assert bench.source.calls[-1][0] == "all"
