Reject versions out of range in what another VM sends

What callers saw: not observed. Cause: an infinite number as the version of a table in another VM's response raised an exception that wasn't expected; the fetch then never counted as ended, so that this VM never asked another one again. A negative or too large version was taken over, and announced. Change: such a response is an error like other malformed ones, as with the store's responses already. Evidence: the new test fails without the change.

--- a/src/galenaferry/discovery/messages.py
+++ b/src/galenaferry/discovery/messages.py
@@ -13,6 +13,8 @@
 
 ERA_SHIFT: Final = 44
 """Bits of the counter in an encoded version; the era takes the 20 bits above."""
+MAX_ERA: Final = (1 << 20) - 1
+MAX_COUNTER: Final = (1 << ERA_SHIFT) - 1
 
 
 class StoreVersion(NamedTuple):
--- a/src/galenaferry/discovery/peer_updates.py
+++ b/src/galenaferry/discovery/peer_updates.py
@@ -16,6 +16,8 @@
 from ..network.loop import Loop
 from ..numbers import parse_whole_number
 from .messages import (
+    MAX_COUNTER,
+    MAX_ERA,
     StoreVersion,
     TableError,
     TableRow,
@@ -67,9 +69,12 @@
         data = json.loads(body)
         rows = tuple(_decode_row(*row) for row in data["rows"])
         version = StoreVersion(int(data.get("era", 0)), int(data["version"]))
-        return TableUpdate(version, rows, bool(data["whole"]))
-    except (KeyError, TypeError, AttributeError, zlib.error) as error:
+        is_whole = bool(data["whole"])
+    except (KeyError, TypeError, AttributeError, OverflowError, zlib.error) as error:
         raise ValueError(f"invalid table update: {error!r}") from None
+    if not (0 <= version.era <= MAX_ERA and 0 <= version.counter <= MAX_COUNTER):
+        raise ValueError(f"invalid table update: {version} is out of range")
+    return TableUpdate(version, rows, is_whole)
 
 
 def fetch_from_peer(
--- a/src/galenaferry/discovery/tests/test_peer_updates.py
+++ b/src/galenaferry/discovery/tests/test_peer_updates.py
@@ -102,3 +102,13 @@
 def test_an_invalid_update_is_an_error(body):
     with pytest.raises(ValueError):
         decode_update(body)
+
+
+@pytest.mark.parametrize("number", ["1e999", "-1", str(1 << 63)])
+@pytest.mark.parametrize("name", ["version", "era"])
+def test_an_update_with_a_version_out_of_range_is_an_error(name, number):
+    # An exception left the VM waiting for this fetch for ever.
+    data = {"version": "7", "era": "1"} | {name: number}
+    fields = ", ".join(f'"{key}": {value}' for key, value in data.items())
+    with pytest.raises(ValueError, match="invalid table update"):
+        decode_update(b'{%b, "whole": true, "rows": []}' % fields.encode())
--- a/src/galenaferry/platform/store.py
+++ b/src/galenaferry/platform/store.py
@@ -10,7 +10,8 @@
 
 from ..clock import Millis
 from ..discovery.messages import (
-    ERA_SHIFT,
+    MAX_COUNTER,
+    MAX_ERA,
     HistoryLost,
     StoreVersion,
     TableError,
@@ -35,8 +36,6 @@
 ERA_HEADER: Final = b"store-era"
 """Header of all responses, which counts how often the store was restored from a copy
 that lacked its latest changes."""
-MAX_ERA: Final = (1 << 20) - 1
-MAX_COUNTER: Final = (1 << ERA_SHIFT) - 1
 
 
 class StoreClient:
