Notice silence in the midst of a response also where a long wait is allowed

What callers saw: not observed. Cause: a read from the store may wait 4.5 s for its first byte, and silence after the first part was looked for only then: a read whose connection went silent in the midst of a large response ended after 4.5 s, not 1 s. Change: the timer starts anew with the first part.

--- a/src/galenaferry/network/fetch.py
+++ b/src/galenaferry/network/fetch.py
@@ -107,6 +107,10 @@
         self._stream.write(head + request.body)
 
     def on_data(self, data: bytes) -> None:
+        stall_timeout = self._request.stall_timeout
+        if stall_timeout is not None and not self._size:
+            self._timer.cancel()
+            self._timer = self._loop.after(stall_timeout, self._on_timeout)
         self._size += len(data)
         self._received_at = self._loop.clock.now()
         if self._size > MAX_RESPONSE_BYTES:
--- a/src/galenaferry/network/tests/test_fetch.py
+++ b/src/galenaferry/network/tests/test_fetch.py
@@ -121,3 +121,15 @@
     bench.owner.on_connected()
     bench.run_for(4_000.0)
     assert bench.results == []
+
+
+def test_silence_in_the_midst_of_a_response_ends_a_fetch_that_may_wait_long(
+    monkeypatch,
+):
+    bench = FetchBench(monkeypatch, timeout=4_500.0, stall_timeout=500.0)
+    bench.owner.on_connected()
+    bench.run_for(200.0)
+    bench.owner.on_data(HEAD)
+    bench.run_for(5_000.0)
+    assert bench.clock.now() - 1000.0 <= 720.0
+    assert bench.results[0].is_err()
