Read the blocked requests once a second in an outage, also after pauses

What callers saw: not observed. Cause: each pause of a VM reads the table of blocked requests again, and each failed read repeated itself, so that pauses during an outage of the store added up: five of them led to five reads a second, and as many fetches from other VMs, until the store was back. Change: there is one timer for the retry.

--- a/src/galenaferry/crashes/blocked_table.py
+++ b/src/galenaferry/crashes/blocked_table.py
@@ -24,7 +24,7 @@
     TableUpdate,
 )
 from ..logs import logger
-from ..network.loop import Loop
+from ..network.loop import Loop, Timer
 from .messages import Blocked
 from .store import BlockedStore
 
@@ -79,9 +79,11 @@
         self._on_loaded = on_loaded
         self._blocked = blocked
         self._unsaved: dict[bytes, Blocked | None] = {}
+        self._retry: Timer | None = None
 
     def load(self) -> None:
         """Read the table, from another VM if the store does not respond."""
+        self._cancel_retry()
         self._store.read_all(self._name, self._on_read)
 
     def save(self, fingerprint: bytes, blocked: Blocked | None) -> None:
@@ -128,7 +130,12 @@
             case Err(error):
                 log.warning("blocked requests could not be read", error=error.text)
                 self._fetch_from_peer(self._on_fetched)
-                self._loop.after(RETRY_DELAY_MS, self.load)
+                self._cancel_retry()
+                self._retry = self._loop.after(RETRY_DELAY_MS, self.load)
+
+    def _cancel_retry(self) -> None:
+        if self._retry is not None:
+            self._retry.cancel()
 
     def _on_fetched(self, result: Result[TableUpdate, TableError]) -> None:
         if isinstance(result, Ok):
--- a/src/galenaferry/crashes/tests/test_blocked_table.py
+++ b/src/galenaferry/crashes/tests/test_blocked_table.py
@@ -140,3 +140,14 @@
     bench.store.value_by_key = {"zz": value, KEY.hex(): value}
     bench.table.load()
     assert bench.loaded == {}
+
+
+def test_pauses_during_an_outage_do_not_multiply_the_reads():
+    bench = TableBench()
+    bench.store.is_unavailable = True
+    for _ in range(5):
+        bench.table.load()
+    calls = bench.store.calls
+    for _ in range(40):
+        bench.run_for(0.25 * RETRY_DELAY_MS)
+    assert 9 <= bench.store.calls - calls <= 10
