Show that the start of a reader makes its zone unsure of its configuration (fails)

Cause, as the test's fleet shows: a VM that starts knows only the version of the whole store at its first read, which grows with the instances, and announces it as the version of the configuration's last change; its history doesn't reach back, so that each VM of the zone gets the whole document from it.

--- a/src/galenaferry/node/tests/configuration_fleet.py
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -155,6 +155,7 @@
             20, Random(number), lambda: self.tables.is_configuration_current
         )
         self.applied_at = {}
+        self.is_stopped = False
         loop = HostLoop(fleet.loop, self.host)
         self.tables = Tables(
             loop,
@@ -182,6 +183,8 @@
         return any(vm.address == address for vm in near)
 
     def _send_notice(self, notice):
+        if self.is_stopped:
+            return
         for vm in self.fleet.vms:
             is_near = vm.member.zone == self.member.zone
             if vm is not self and (is_near or vm in self.fleet.hubs):
@@ -191,6 +194,8 @@
         self.tables.on_notice(sender.address, notice)
 
     def send_heartbeats(self):
+        if self.is_stopped:
+            return
         is_down = self.tables.is_store_unavailable
         self.member = self.member._replace(is_platform_down=is_down)
         heartbeat = Heartbeat(
@@ -264,6 +269,18 @@
 
         self.loop.after(HEARTBEAT_MS * self.random.random(), send)
 
+    def restart(self, vm):
+        """Replace a VM by one that has nothing; return the new one."""
+        vm.is_stopped = True
+        number = self.vms.index(vm)
+        started = FollowingVm(self, number, vm.member.zone)
+        self.vms[number] = started
+        self.hubs = [started if hub is vm else hub for hub in self.hubs]
+        self.network.server_by_address[started.host, 7200] = started.respond
+        started.tables.begin()
+        self._schedule_heartbeats(started)
+        return started
+
     def run(self, interval):
         ends_at = self.clock.now() + interval
         while self.clock.now() < ends_at:
--- a/src/galenaferry/node/tests/test_configuration_fleet.py
+++ b/src/galenaferry/node/tests/test_configuration_fleet.py
@@ -146,3 +146,19 @@
         fleet.run(20.0)
         unsure = [vm for vm in fleet.vms if vm.routes.route(unknown) != NoRoute()]
         assert unsure == []
+
+
+def test_vms_stay_sure_while_a_reader_of_their_zone_starts_again(monkeypatch):
+    fleet = make_fleet(monkeypatch)
+    fleet.change(5, ROUTES_IN_BULK)
+    fleet.run(4_000.0)
+    # Changes of other tables; what the VM that starts reads has a newer version.
+    fleet.store.version += 1_000
+    fleet.run(6_000.0)
+    started = fleet.restart(next(vm for vm in fleet.vms if vm._is_designated_reader()))
+    others = [vm for vm in fleet.vms if vm is not started]
+    unknown = fleet.head_of_new_route._replace(target=b"/none/")
+    for _ in range(200):
+        fleet.run(20.0)
+        unsure = [vm for vm in others if vm.routes.route(unknown) != NoRoute()]
+        assert unsure == []
