Tell the latest change of a table apart from changes of other tables

Cause: the version of a copy after its first read, and after each read with changes, was taken for that of the table's latest change, though the store counts changes of all tables; another VM that had polled a moment earlier then took itself for one that is behind, and fetched rows that it had. Change: the latest change is that of the rows that the store returns; VMs pass it on with their updates (those of the earlier version don't, and don't read it). A read that is to confirm a copy at once waits 1 ms instead of 0, which a store may take for no limit.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -33,6 +33,8 @@
 from .readers import ANNOUNCE_INTERVAL_MS, needs_own_read
 from .sources import PeerSources
 
+SHORT_POLL_MS: Final = 1.0
+"""Time after which the store answers a VM that needs to know at once."""
 MAX_CONFIRMATION_AGE_MS: Final = 5_000.0
 """Age from which a VM no longer takes its copy for the newest one. In a fleet without
 failures it is below the time of a long poll and of two announcements."""
@@ -338,9 +340,9 @@
         changed = self._history.keys_changed_after(after)
         if changed is None:
             rows = tuple(TableRow(k, v) for k, v in self.value_by_key.items())
-            return TableUpdate(self.version, rows, is_snapshot=True)
+            return TableUpdate(self.version, rows, True, self.last_change_version)
         rows = tuple(TableRow(key, self.value_by_key.get(key)) for key in changed)
-        return TableUpdate(self.version, rows, is_snapshot=False)
+        return TableUpdate(self.version, rows, False, self.last_change_version)
 
     def _update_reader_role(self) -> None:
         """Start or stop reading a shared table, as ``needs_own_read`` decides."""
@@ -446,7 +448,7 @@
             # The store has the changes after it, or says that it has not.
             self._needs_full_read = False
         if has_changed and self._is_reading:
-            self._forward(self._make_notice(update.version, ()))
+            self._forward(self._make_notice(self.last_change_version, ()))
         if has_changed and self._is_reading and not self.is_store_unavailable:
             # The pending read missed these changes: its connection may be dead.
             self._read()
@@ -470,7 +472,7 @@
         """
         age = self._loop.clock.now() - self._confirmed_at
         has_time = age + LONG_POLL_MS <= MAX_CONFIRMATION_AGE_MS
-        self._start_read(LONG_POLL_MS if has_time else 0.0)
+        self._start_read(LONG_POLL_MS if has_time else SHORT_POLL_MS)
 
     def _poll(self) -> None:
         """Start the read after one that was answered."""
@@ -558,8 +560,8 @@
             and size <= MAX_NOTICE_BYTES
         )
         rows = update.rows if fits_notice else ()
-        self._told_version = max(self._told_version, update.version)
-        self._broadcast(self._make_notice(update.version, rows))
+        self._told_version = max(self._told_version, update.changed_at)
+        self._broadcast(self._make_notice(update.changed_at, rows))
 
     def _on_error(self, error: TableError) -> None:
         self._error_count += 1
@@ -610,7 +612,7 @@
         self._history.record(update, changed)
         self.version = update.version
         if changed or is_first or is_new_era:
-            self.last_change_version = update.version
+            self.last_change_version = update.changed_at
         if changed:
             self._on_change(tuple(changed))
         if is_new_era:
--- a/src/galenaferry/discovery/messages.py
+++ b/src/galenaferry/discovery/messages.py
@@ -56,12 +56,19 @@
 class TableUpdate(NamedTuple):
     """Changed rows of a table in order, or all its rows when ``is_snapshot``.
 
-    ``version`` is the version of the whole store at the time of the read.
+    ``version`` is the version of the whole store at the time of the read, and
+    ``last_change`` that of the latest change of these rows, None if it is not known.
     """
 
     version: StoreVersion
     rows: tuple[TableRow, ...]
     is_snapshot: bool
+    last_change: StoreVersion | None = None
+
+    @property
+    def changed_at(self) -> StoreVersion:
+        """Latest change of the rows; the version of the read if it is not known."""
+        return self.version if self.last_change is None else self.last_change
 
 
 class TableNotice(NamedTuple):
--- a/src/galenaferry/discovery/peer_updates.py
+++ b/src/galenaferry/discovery/peer_updates.py
@@ -54,7 +54,13 @@
     """
     rows = [_encode_row(row, is_compressed) for row in update.rows]
     era, counter = update.version
-    return {"version": counter, "era": era, "whole": update.is_snapshot, "rows": rows}
+    return {
+        "version": counter,
+        "era": era,
+        "whole": update.is_snapshot,
+        "changed": update.changed_at.counter,
+        "rows": rows,
+    }
 
 
 def decode_update(body: bytes) -> TableUpdate:
@@ -70,11 +76,15 @@
         rows = tuple(_decode_row(*row) for row in data["rows"])
         version = StoreVersion(int(data.get("era", 0)), int(data["version"]))
         is_whole = bool(data["whole"])
+        # VMs of an earlier version don't tell.
+        changed = StoreVersion(version.era, int(data.get("changed", version.counter)))
     except (KeyError, TypeError, AttributeError, OverflowError, zlib.error) as error:
         raise ValueError(f"invalid table update: {error!r}") from None
     if not (0 <= version.era <= MAX_ERA and 0 <= version.counter <= MAX_COUNTER):
         raise ValueError(f"invalid table update: {version} is out of range")
-    return TableUpdate(version, rows, is_whole)
+    if not 0 <= changed.counter <= version.counter:
+        raise ValueError(f"invalid table update: changed at {changed.counter}")
+    return TableUpdate(version, rows, is_whole, changed)
 
 
 def fetch_from_peer(
--- a/src/galenaferry/discovery/tests/test_peer_updates.py
+++ b/src/galenaferry/discovery/tests/test_peer_updates.py
@@ -14,7 +14,10 @@
 from galenaferry.network.json_server import JsonRequest
 
 UPDATE = TableUpdate(
-    StoreVersion(2, 2**43), (TableRow("a", b"\xff"), TableRow("b", None)), True
+    StoreVersion(2, 2**43),
+    (TableRow("a", b"\xff"), TableRow("b", None)),
+    True,
+    StoreVersion(2, 2**42),
 )
 
 
@@ -36,12 +39,21 @@
 def test_an_update_of_a_vm_of_an_earlier_version_has_no_era():
     body = json.dumps({"version": 7, "whole": False, "rows": []}).encode()
     assert decode_update(body).version == StoreVersion(0, 7)
+    assert decode_update(body).changed_at == StoreVersion(0, 7)
+
+
+@pytest.mark.parametrize("changed", [-1, 8, "x", None])
+def test_an_update_that_changed_after_its_version_is_an_error(changed):
+    data = {"version": 7, "whole": False, "rows": [], "changed": changed}
+    with pytest.raises(ValueError):
+        decode_update(json.dumps(data).encode())
 
 
 LARGE = TableUpdate(
     StoreVersion(0, 7),
     (TableRow("config", b"route " * 9_000), TableRow("small", b"x")),
     False,
+    StoreVersion(0, 5),
 )
 
 
--- a/src/galenaferry/platform/store.py
+++ b/src/galenaferry/platform/store.py
@@ -12,6 +12,7 @@
 from ..discovery.messages import (
     MAX_COUNTER,
     MAX_ERA,
+    NO_VERSION,
     HistoryLost,
     StoreVersion,
     TableError,
@@ -61,7 +62,7 @@
 
     def read_all(self, table: str, done: TableUpdateCallback) -> None:
         """Read all rows of a table, page by page."""
-        self._read_page(table, "", None, [], done)
+        self._read_page(table, "", None, [], NO_VERSION, done)
 
     def read_changes(
         self,
@@ -136,9 +137,13 @@
         start: str,
         era: int | None,
         rows: list[TableRow],
+        last_change_before: StoreVersion,
         done: TableUpdateCallback,
     ) -> None:
-        """Read the rows from a key on; ``era`` is that of the pages before."""
+        """Read the rows from a key on.
+
+        ``era`` and ``last_change_before`` are those of the pages before.
+        """
         query = {"table": table, "part": "", "limit": ROWS_PER_PAGE}
         if start:
             query["from"] = start
@@ -148,18 +153,19 @@
             if isinstance(page, Err):
                 done(page)
                 return
-            version, found, has_more = page.ok_value
+            version, found, found_change, has_more = page.ok_value
             if era is not None and version.era != era:
                 done(Err(TableError("the store was restored during the read")))
                 return
             rows.extend(found)
+            last_change = max(last_change_before, found_change)
             if has_more and found:
                 # The start of a range is inclusive. No key sorts between the last
                 # one and the same key with a zero byte appended.
                 start = found[-1].key + "\0"
-                self._read_page(table, start, version.era, rows, done)
+                self._read_page(table, start, version.era, rows, last_change, done)
             else:
-                done(Ok(TableUpdate(version, tuple(rows), is_snapshot=True)))
+                done(Ok(TableUpdate(version, tuple(rows), True, last_change)))
 
         self._get("/rows-get", query, TIMEOUT_MS, finish)
 
@@ -216,10 +222,11 @@
 
 def _parse_page(
     response: FetchResponse, era: int
-) -> tuple[StoreVersion, list[TableRow], bool]:
+) -> tuple[StoreVersion, list[TableRow], StoreVersion, bool]:
     data = json.loads(response.body)
     rows = [_parse_row(row) for row in data["rows"]]
-    return _parse_version(data, era), rows, bool(data["hasMore"])
+    version = _parse_version(data, era)
+    return version, rows, _last_change(data["rows"], version), bool(data["hasMore"])
 
 
 def _parse_version(data: dict[str, Any], era: int) -> StoreVersion:
@@ -232,8 +239,21 @@
 def _parse_changes(response: FetchResponse, era: int) -> TableUpdate:
     data = json.loads(response.body)
     # The request names no part of the table, so rows of other parts are skipped here.
-    rows = tuple(_parse_row(row) for row in data["rows"] if not row.get("part"))
-    return TableUpdate(_parse_version(data, era), rows, is_snapshot=False)
+    found = [row for row in data["rows"] if not row.get("part")]
+    rows = tuple(_parse_row(row) for row in found)
+    version = _parse_version(data, era)
+    return TableUpdate(version, rows, False, _last_change(found, version))
+
+
+def _last_change(rows: list[dict[str, Any]], version: StoreVersion) -> StoreVersion:
+    """Return the latest version of the rows, at most that of the response.
+
+    The version of the response also grows with changes of other tables. Rows without
+    a version count as changed at that of the response.
+    """
+    counters = (int(row.get("ver", version.counter)) for row in rows)
+    latest = max(counters, default=0)
+    return StoreVersion(version.era, min(max(latest, 0), version.counter))
 
 
 def _parse_row(row: dict[str, Any]) -> TableRow:
--- a/src/galenaferry/platform/tests/fake_store_server.py
+++ b/src/galenaferry/platform/tests/fake_store_server.py
@@ -104,7 +104,8 @@
 
     def _row(self, table, key):
         value = self.rows[table, key]
-        row = {"table": table, "part": "", "key": key}
+        version = self.changed_version_by_row[table, key]
+        row = {"table": table, "part": "", "key": key, "ver": version}
         if value is None:
             return row | {"removed": True}
         return row | {"value": base64.b64encode(value).decode()}
--- a/src/galenaferry/platform/tests/test_store.py
+++ b/src/galenaferry/platform/tests/test_store.py
@@ -35,13 +35,13 @@
         assert len(results) == 1
         return results[0]
 
-    def read_all(self):
-        return self.call(lambda done: self.client.read_all("servers", done))
+    def read_all(self, table="servers"):
+        return self.call(lambda done: self.client.read_all(table, done))
 
-    def read_changes(self, after, era=1):
+    def read_changes(self, after, table="servers", era=1):
         version = StoreVersion(era, after)
         return self.call(
-            lambda done: self.client.read_changes("servers", version, 5000.0, done)
+            lambda done: self.client.read_changes(table, version, 5000.0, done)
         )
 
 
@@ -68,10 +68,23 @@
     bench.store.remove("servers", "i-1")
     rows = (TableRow("i-2", b"c"), TableRow("i-1", None))
     assert bench.read_changes(before).unwrap() == TableUpdate(
-        StoreVersion(1, before + 2), rows, False
+        StoreVersion(1, before + 2), rows, False, StoreVersion(1, before + 2)
     )
 
 
+def test_the_latest_change_of_a_table_is_told_apart_from_changes_of_others():
+    bench = StoreBench()
+    bench.store.put("op", "config", b"a")
+    changed_at = StoreVersion(1, bench.store.version)
+    before = bench.store.version - 1
+    for number in range(3):
+        bench.store.put("servers", f"i-{number}", b"b")
+    whole = bench.read_all("op").unwrap()
+    changes = bench.read_changes(before, "op").unwrap()
+    assert whole.version == changes.version == StoreVersion(1, bench.store.version)
+    assert whole.changed_at == changes.changed_at == changed_at
+
+
 def test_lost_history_is_distinguished_from_a_failure():
     bench = StoreBench()
     bench.store.put("servers", "i-1", b"a")
