Let no VM of the test fleets deny a proper request

Change: each test of relay/ and crashes/ fails if a VM itself answers a proper request with 4xx other than 408, 421 and 429, counted over all fleets of the test; the test fleet can give VMs configurations and keys of their own.

--- a/src/galenaferry/relay/tests/test_cut_fleet.py
+++ b/src/galenaferry/relay/tests/test_cut_fleet.py
@@ -136,6 +136,7 @@
     fleet = make_fleet()
     fleet.vms[0].component = fleet.vms[0].relay
     request = fleet.get("/read/x", vm=fleet.vms[0])
+    request.is_proper = False
     fleet.run(0.5)
     assert request.status == 403
     assert not fleet.arrivals
--- a/src/galenaferry/relay/tests/test_limits_of_relays.py
+++ b/src/galenaferry/relay/tests/test_limits_of_relays.py
@@ -39,8 +39,8 @@
     cut, other = fleet.vms[:2]
     sent = [
         (
-            fleet.get("/read/x", vm=other, headers=large_headers(head_bytes - rest)),
-            fleet.get("/read/x", vm=cut, headers=large_headers(head_bytes - rest)),
+            fleet.get("/read/x", vm=other, lines=large_headers(head_bytes - rest)),
+            fleet.get("/read/x", vm=cut, lines=large_headers(head_bytes - rest)),
         )
         for rest in range(90, 300, 6)
     ]
@@ -58,7 +58,7 @@
     lines = "Connection: X\r\n" + "X: y\r\n" * (MAX_HEADER_COUNT - 4)
     lines += f"{name.decode()}: {value.decode()}\r\n"
     fleet.vms[1].component = fleet.vms[1].relay
-    request = fleet.get("/read/x", vm=fleet.vms[1], headers=lines)
+    request = fleet.get("/read/x", vm=fleet.vms[1], lines=lines)
     fleet.run(1.0)
     assert request.status == 200
 
@@ -77,6 +77,6 @@
     for vm in fleet.vms:
         change_limits(vm, 2, head_bytes=2_000)
     change_limits(fleet.vms[0], 3, head_bytes=20_000)
-    request = fleet.get("/read/x", vm=fleet.vms[0], headers=large_headers(10_000))
+    request = fleet.get("/read/x", vm=fleet.vms[0], lines=large_headers(10_000))
     fleet.run(3.0)
     assert request.status == 200
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -53,35 +53,52 @@
 RETRY_BUDGET = BudgetBounds(ratio=0.2, slack=62.0, window=10_000.0)
 
 
-def make_document(version=1, max_attempts=9):
-    """Return routes for ``/read/`` (idempotent) and ``/book/`` to one service."""
+ANSWERED_BY_A_VM = ("galenaferry-ran", "galenaferry-reason")
+"""Headers of which an answer that a VM made itself has at least one."""
+TRUE_REFUSALS = (408, 421, 429)
+"""Statuses below 500 with which a VM may refuse a proper request."""
+
+
+fleets = []
+"""The fleets of the current test (see ``denials``)."""
+
+
+def make_document(
+    version=1,
+    max_attempts=9,
+    prefixes=(b"read", b"book"),
+    limits=None,
+):
+    """Return routes to one service, of which only ``/book/`` is not idempotent."""
     routes = tuple(
         HostRoute(
             name=prefix.decode(),
             host=b"a",
             prefix=b"/%b/" % prefix,
             weighted_services=(WeightedService("bookings", 1.0),),
-            is_idempotent=prefix == b"read",
+            is_idempotent=prefix != b"book",
             max_attempts=max_attempts,
             total_timeout=float(DEADLINE_MS),
             target_latency=2_000.0,
             priority=0,
         )
-        for prefix in (b"read", b"book")
+        for prefix in prefixes
     )
     services = {"bookings": ServiceSettings("bookings", 330, "/health")}
-    return RoutingDocument(version, routes, services, CallerLimits())
+    return RoutingDocument(version, routes, services, limits or CallerLimits())
 
 
 class Request:
     """A request of a caller on a connection of its own.
 
-    ``headers`` is text to add to its head, each line with its end.
+    ``lines`` is text to add to its head, each line with its end. ``is_proper`` says
+    that no VM may deny it.
     """
 
     def __init__(
-        self, fleet, vm, method, target, body=b"", caller=1, chunks=0, headers=""
+        self, fleet, vm, method, target, body=b"", caller=1, chunks=0, lines=""
     ):
+        self.is_proper = True
         self.fleet = fleet
         self.vm = vm
         self.target = target
@@ -99,7 +116,7 @@
         head = (
             f"{method} {target} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
             f"Galenaferry-Request-Id: q{fleet.request_count}\r\n"
-            f"Galenaferry-Request-Deadline-Ms: {DEADLINE_MS}\r\n{headers}"
+            f"Galenaferry-Request-Deadline-Ms: {DEADLINE_MS}\r\n{lines}"
         )
         if chunks:
             parts = [body[i : i + chunks] for i in range(0, len(body), chunks)]
@@ -126,6 +143,21 @@
         if self.received:
             self.status = int(self.received.split(b" ", 2)[1])
         self.fleet.outcomes[self.vm.name, self.status] += 1
+        if self.is_proper and self.is_denied:
+            self.fleet.denied.append(self)
+
+    @property
+    def is_denied(self):
+        """Whether a VM itself answered that the request is wrong."""
+        return (
+            400 <= self.status < 500
+            and self.status not in TRUE_REFUSALS
+            and any(self.header(name) is not None for name in ANSWERED_BY_A_VM)
+        )
+
+    @property
+    def reason(self):
+        return self.header("galenaferry-reason")
 
     def header(self, name):
         head = self.received.partition(b"\r\n\r\n")[0].decode().lower()
@@ -168,7 +200,9 @@
             {key: blocked for key, blocked in fleet.blocked.items() if blocked}
         )
         self.is_cut_off = False
-        self.authentication = RelayAuthentication(b"key", HEADER_NAMES.request_id)
+        self.authentication = RelayAuthentication(
+            fleet.key_by_vm.get(number, b"key"), HEADER_NAMES.request_id
+        )
         self.backends = RelayingBackends(
             fleet.loop,
             self.placement,
@@ -176,19 +210,19 @@
             self._relay_vms,
             self._on_reach_changed,
         )
-        self.routes = routes = HostRouteTable(20, Random(number))
-        routes.replace_if_newer(fleet.document)
+        self.routes = HostRouteTable(20, Random(number))
+        self.routes.replace_if_newer(fleet.document)
         self.context = RequestContext(
             fleet.loop,
             self.backends,
-            routes,
+            self.routes,
             self.backends,
             Random(number),
             settings=make_request_settings(HEADER_NAMES),
             budgets=FleetBudgets(
                 RETRY_BUDGET, fleet.clock, lambda: len(fleet.vms), True
             ),
-            limits=lambda: routes.limits,
+            limits=lambda: self.routes.limits,
             retry_after=lambda service: 300.0,
             overdue_policy=self.backends,
             crash_guard=self.guard,
@@ -233,15 +267,30 @@
 class Fleet:
     """VMs, instances and callers; ``crashing`` holds targets and bodies.
 
-    ``loss`` is the share of the messages between VMs that are lost.
+    ``loss`` is the share of the messages between VMs that are lost. ``document`` is the
+    configuration of all VMs at their start, and ``key_by_vm`` has the numbers of the
+    VMs whose key is another one. ``denied`` has the proper requests that a VM itself
+    answered as wrong.
     """
 
-    def __init__(self, vms=6, instances=9, loss=0.0, seed=1, **instance_parts):
+    def __init__(
+        self,
+        vms=6,
+        instances=9,
+        loss=0.0,
+        seed=1,
+        document=None,
+        key_by_vm=None,
+        **instance_parts,
+    ):
         self.random = Random(seed)
         self.clock = FakeClock(100_000.0)
         self.loop = Loop(self.clock)
         self.loop.register(Component())
-        self.document = make_document()
+        self.document = document or make_document()
+        self.key_by_vm = key_by_vm or {}
+        self.denied = []
+        fleets.append(self)
         self.loss = loss
         self.crashing = set()
         self.crashing_versions = {"v1"}
@@ -365,13 +414,18 @@
         self.claimed_trials.add((fingerprint, version))
         self.loop.after(10.0, lambda: done(is_granted))
 
-    def get(self, target, caller=1, vm=None, headers=""):
+    def configure(self, numbers, document):
+        """Let some VMs have a newer configuration."""
+        for number in numbers:
+            self.vms[number].routes.replace_if_newer(document)
+
+    def get(self, target, caller=1, vm=None, lines=""):
         vm = vm or self.random.choice(self.vms)
-        return Request(self, vm, "GET", target, b"", caller, headers=headers)
+        return Request(self, vm, "GET", target, b"", caller, lines=lines)
 
-    def post(self, target, body, caller=1, vm=None, chunks=0):
+    def post(self, target, body, caller=1, vm=None, chunks=0, lines=""):
         vm = vm or self.random.choice(self.vms)
-        return Request(self, vm, "POST", target, body, caller, chunks)
+        return Request(self, vm, "POST", target, body, caller, chunks, lines)
 
     def run(self, seconds, *streams):
         """Run for some seconds; ``streams`` are pairs of interval in ms and callable.
