--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -41,7 +41,7 @@
 from .deadline import Deadline, request_timeout
 from .gating import open_gate, tell_gate
 from .idempotency import make_keyed_request
-from .interface import classify_response, find_response_error
+from .interface import find_refusal_reason, is_stale_response, judge_response
 from .local_answers import LocalAnswer, make_refusal, make_replay
 from .messages import IDEMPOTENCY_KEY_HEADER, RAN_HEADER
 from .overdue import OverdueWatch
@@ -252,42 +252,36 @@
     def on_attempt_head(self, head: ResponseHead) -> bool:
         """Forward the head, or discard the response and retry or refuse."""
         settings = self._context.settings
-        is_relay = self._instance is not None and self._instance.is_relay
-        outcome = classify_response(settings, head, is_relay)
-        is_reused = self._attempt is not None and self._attempt.is_reused
-        error = find_response_error(settings, head, is_reused)
-        if error:
-            outcome = BadResponse(error)
-            if self._attempt is not None:
-                self._attempt.abandon()
-        if self._instance is not None:
-            record_announcements(
-                self._context.directory,
-                settings.names,
-                self._instance,
-                head,
-                outcome,
-                self._attempt_started_at,
-            )
+        instance, attempt = self._instance, self._attempt
+        assert instance is not None and attempt is not None
+        outcome = judge_response(settings, head, instance.is_relay, attempt.is_reused)
+        if isinstance(outcome, BadResponse):
+            attempt.abandon()
+        record_announcements(
+            self._context.directory,
+            settings.names,
+            instance,
+            head,
+            outcome,
+            self._attempt_started_at,
+        )
         evaluation = evaluate_outcome(outcome)
         self._record_attempt(outcome, evaluation)
         if self._acquire_retry(evaluation):
             self._context.loop.call_soon(self._retry)
             return False
-        if error or (
-            evaluation.execution is Execution.NOT_RUN
-            and settings.is_shed_counted_as_attempt
-        ):
+        reason = find_refusal_reason(settings, outcome)
+        if reason:
             self._context.loop.call_soon(
-                lambda: self._refuse_if_open(evaluation.status, error)
+                lambda: self._refuse_if_open(evaluation.status, reason)
             )
             return False
         self._forward_head(head, evaluation)
         return True
 
-    def _refuse_if_open(self, status: int, error: str) -> None:
+    def _refuse_if_open(self, status: int, reason: str) -> None:
         if not self.is_over:
-            self.refuse(status, error or "every backend server is busy")
+            self.refuse(status, reason)
 
     def on_attempt_body(self, data: bytes) -> None:
         """Forward or buffer a part of the response body."""
@@ -430,15 +424,10 @@
             self.body,
             self.head.length is None,
             self.head.method == b"HEAD",
-            self._is_stale_response,
+            lambda head: is_stale_response(context.settings, head, self._request_id),
         )
         self._watch_overdue(attempt, instance, route)
 
-    def _is_stale_response(self, head: ResponseHead) -> bool:
-        """Whether a response is a late one to an earlier request."""
-        echoed = head.header(self._context.settings.names.request_id)
-        return echoed is not None and echoed != self._request_id
-
     def _watch_overdue(
         self, attempt: Attempt, instance: Instance, route: Route
     ) -> None:
--- a/src/galenaferry/requests/interface.py
+++ b/src/galenaferry/requests/interface.py
@@ -5,7 +5,15 @@
 
 from typing import Final, NamedTuple
 
-from ..attempts.messages import AttemptOutcome, Execution, Relayed, RelayRefused
+from ..attempts.messages import (
+    AttemptOutcome,
+    BadResponse,
+    CertifiedNotRun,
+    Execution,
+    Misdirected,
+    Relayed,
+    RelayRefused,
+)
 from ..attempts.outcomes import MISDIRECTED_STATUS, classify_status
 from ..clock import Millis
 from ..framing.messages import Header, ResponseHead
@@ -103,6 +111,30 @@
     return given is not None and (not value or given == value)
 
 
+def judge_response(
+    settings: RequestSettings, head: ResponseHead, is_relay: bool, is_reused: bool
+) -> AttemptOutcome:
+    """Return the outcome that a response stands for, or why it can't be the answer.
+
+    ``is_relay`` says that it came by way of another VM of the fleet, ``is_reused`` that
+    the connection was used before.
+    """
+    error = find_response_error(settings, head, is_reused)
+    return BadResponse(error) if error else classify_response(settings, head, is_relay)
+
+
+def find_refusal_reason(settings: RequestSettings, outcome: AttemptOutcome) -> str:
+    """Return why the caller gets a refusal, empty if the response is passed on."""
+    match outcome:
+        case BadResponse(text):
+            return text
+        case CertifiedNotRun() | Misdirected() | RelayRefused():
+            is_refused = settings.is_shed_counted_as_attempt
+            return "every backend server is busy" if is_refused else ""
+        case _:
+            return ""
+
+
 def classify_response(
     settings: RequestSettings, head: ResponseHead, is_relay: bool
 ) -> AttemptOutcome:
@@ -124,6 +156,14 @@
     return Relayed(head.status, is_signed and head.status < FIRST_FAULT_STATUS)
 
 
+def is_stale_response(
+    settings: RequestSettings, head: ResponseHead, request_id: bytes
+) -> bool:
+    """Whether a response is a late one to an earlier request."""
+    echoed = head.header(settings.names.request_id)
+    return echoed is not None and echoed != request_id
+
+
 def find_response_error(
     settings: RequestSettings, head: ResponseHead, is_connection_reused: bool
 ) -> str:
