Take what another VM itself refuses for no answer to the caller

Cause: only 503 with "not-run" was a refusal of the other VM; its own 404, 403 and 413 were passed on to the caller as the final answer. The nearest VM was asked again for each request. Change: an answer of a VM that names no instance is its own. With "not-run" it is a refusal of whatever status: the next VM is asked (at most MAX_RELAYS), at the end the caller gets 503 with Retry-After. One below 500 that may have run is RelayFailed: a read is tried again, a booking gets 502. Evidence.REFUSED says so: no instance, link or VM is accused; the VM comes after all others for requests of this route for 5 s.

--- a/src/galenaferry/attempts/messages.py
+++ b/src/galenaferry/attempts/messages.py
@@ -32,6 +32,9 @@
     """A reused connection failed; the instance itself may be healthy."""
     SHED = "shed"
     """The instance rejected the request without executing it."""
+    REFUSED = "refused"
+    """Another VM did not pass the request on, or not to its end; no instance is at
+    fault."""
     NONE = "none"
 
 
@@ -63,7 +66,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayRefused:
-    """Another VM, asked to pass the request on, could not send it to an instance."""
+    """Another VM, asked to pass the request on, sent it to no instance.
+
+    Its status says nothing about the request: it may have another configuration or key.
+    """
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class RelayFailed:
+    """Another VM took the request for wrong when an instance may have run it."""
 
     status: int
 
@@ -146,6 +159,7 @@
     | CertifiedNotRun
     | Misdirected
     | RelayRefused
+    | RelayFailed
     | Relayed
     | BrokenSent
     | TimedOut
--- a/src/galenaferry/attempts/outcomes.py
+++ b/src/galenaferry/attempts/outcomes.py
@@ -18,6 +18,7 @@
     NotConnected,
     OutcomeEvaluation,
     Relayed,
+    RelayFailed,
     RelayRefused,
     Retry,
     ServerFault,
@@ -57,9 +58,13 @@
                 Execution.NOT_RUN, Retry.ALWAYS, 503, Evidence.LINK, True
             )
         case RelayRefused():
-            # The VM itself works; it has no instance for this request.
+            # The VM itself works; it has no route or instance for this request.
             return OutcomeEvaluation(
-                Execution.NOT_RUN, Retry.ALWAYS, 503, Evidence.NONE, False
+                Execution.NOT_RUN, Retry.ALWAYS, 503, Evidence.REFUSED, False
+            )
+        case RelayFailed():
+            return OutcomeEvaluation(
+                Execution.UNKNOWN, Retry.IDEMPOTENT, 502, Evidence.REFUSED, True
             )
         case Relayed(is_answered=is_answered):
             execution = Execution.ANSWERED if is_answered else Execution.UNKNOWN
--- a/src/galenaferry/attempts/tests/test_outcomes.py
+++ b/src/galenaferry/attempts/tests/test_outcomes.py
@@ -14,6 +14,9 @@
     Evidence,
     Execution,
     NotConnected,
+    Relayed,
+    RelayFailed,
+    RelayRefused,
     ServerFault,
     TimedOut,
 )
@@ -45,6 +48,9 @@
     (ServerFault(500), Execution.UNKNOWN, True, False, 0, Evidence.FAILURE),
     (Answered(200), Execution.ANSWERED, False, False, 0, Evidence.SUCCESS),
     (CallerLeft(), Execution.UNKNOWN, False, False, 0, Evidence.NONE),
+    (RelayRefused(404), Execution.NOT_RUN, True, True, 503, Evidence.REFUSED),
+    (RelayFailed(413), Execution.UNKNOWN, True, False, 502, Evidence.REFUSED),
+    (Relayed(404, True), Execution.ANSWERED, False, False, 0, Evidence.SUCCESS),
 ]
 
 
--- a/src/galenaferry/relay/backends.py
+++ b/src/galenaferry/relay/backends.py
@@ -197,10 +197,7 @@
         """Apply the outcome of one attempt (see ``requests.context.Observer``)."""
         now = self._loop.clock.now()
         if address in self._pool_by_address:
-            if evidence is Evidence.LINK:
-                self._choice.on_unreachable(address, now)
-            elif evidence in DISCOUNTED_EVIDENCE:
-                self._choice.on_doubt(address, now)
+            self._observe_relay(address, route, evidence, now)
             return
         if evidence in (Evidence.SUCCESS, Evidence.SHED):
             self._reach.on_contact(now)
@@ -217,6 +214,17 @@
         elif not self.is_cut_off:
             self._placement.observe(*observation)
 
+    def _observe_relay(
+        self, address: str, route: str, evidence: Evidence, now: Millis
+    ) -> None:
+        match evidence:
+            case Evidence.LINK:
+                self._choice.on_unreachable(address, now)
+            case Evidence.CONNECTION | Evidence.FAILURE:
+                self._choice.on_doubt(address, now)
+            case Evidence.REFUSED:
+                self._choice.on_refused(address, route, now)
+
     def overdue_after(self, route: str, target_latency: Millis) -> Millis:
         """Return the time in ms after which a response is overdue, 0 if unknown."""
         return self._placement.overdue_after(route, target_latency)
@@ -262,7 +270,9 @@
     ) -> Instance | None:
         in_flight = {a: pool.in_flight for a, pool in self._pool_by_address.items()}
         vms = [vm for vm in self._relay_vms() if vm.address not in tried]
-        vm = self._choice.choose(vms, self.zone, in_flight, self._random, now)
+        vm = self._choice.choose(
+            vms, criteria.route, self.zone, in_flight, self._random, now
+        )
         if vm is None:
             return None
         return Instance(vm.address, criteria.service, vm.zone, False, is_relay=True)
--- a/src/galenaferry/relay/tests/test_reach.py
+++ b/src/galenaferry/relay/tests/test_reach.py
@@ -21,6 +21,7 @@
 from galenaferry.relay.relay_vms import (
     EXCLUDED_MS,
     MAX_IN_FLIGHT,
+    REFUSED_MS,
     RelayVm,
     RelayVms,
 )
@@ -85,8 +86,10 @@
     assert OwnReach().direct_share(0.0) == 1.0
 
 
-def choose(vms, in_flight=None, choice=None, now=0.0):
-    return (choice or RelayVms()).choose(vms, "north", in_flight or {}, Random(1), now)
+def choose(vms, in_flight=None, choice=None, now=0.0, route="r"):
+    return (choice or RelayVms()).choose(
+        vms, route, "north", in_flight or {}, Random(1), now
+    )
 
 
 def test_a_vm_of_the_own_zone_goes_first_until_it_has_many_requests():
@@ -106,6 +109,17 @@
     assert choose([NEAR, FAR], choice=choice, now=EXCLUDED_MS) == NEAR
 
 
+def test_a_vm_that_refused_a_route_is_asked_last_for_it_and_as_before_for_others():
+    choice = RelayVms()
+    choice.on_refused(NEAR.address, "new", 0.0)
+    busy = {FAR.address: MAX_IN_FLIGHT - 1}
+    at = REFUSED_MS - 1.0
+    assert choose([NEAR, FAR], busy, choice, at, "new") == FAR
+    assert choose([NEAR, FAR], busy, choice, at, "known") == NEAR
+    assert choose([NEAR, FAR], busy, choice, REFUSED_MS, "new") == NEAR
+    assert choose([NEAR], {}, choice, at, "new") == NEAR
+
+
 def relayed_head(origin=CALLER, key=b"key"):
     header = RelayAuthentication(key, ID_HEADER).header(HEAD, b"q1", origin)
     return HEAD._replace(headers=(*HEAD.headers, header))
--- a/src/galenaferry/requests/interface.py
+++ b/src/galenaferry/requests/interface.py
@@ -12,12 +12,13 @@
     Execution,
     Misdirected,
     Relayed,
+    RelayFailed,
     RelayRefused,
 )
 from ..attempts.outcomes import MISDIRECTED_STATUS, classify_status
 from ..clock import Millis
 from ..framing.messages import Header, ResponseHead
-from ..relay.answers import read_instance_key
+from ..relay.answers import INSTANCE_HEADER
 from .messages import (
     ATTEMPT_HEADER,
     DRAINING_HEADER,
@@ -27,8 +28,8 @@
 )
 
 RELAY_REFUSAL_STATUS: Final = 503
-"""Status with which a relay VM refuses a request that it sent to no instance."""
-FIRST_REJECTION_STATUS: Final = 400
+"""Status of a relay VM's refusal also if it names an instance."""
+FIRST_DENIAL_STATUS: Final = 400
 FIRST_FAULT_STATUS: Final = 500
 DEFAULT_CERTIFYING_STATUSES: Final = frozenset((503,))
 """Statuses with which an instance can certify that it did not execute a request."""
@@ -128,7 +129,9 @@
     match outcome:
         case BadResponse(text):
             return text
-        case CertifiedNotRun() | Misdirected() | RelayRefused():
+        case RelayRefused() | RelayFailed():
+            return "no other VM could pass the request on"
+        case CertifiedNotRun() | Misdirected():
             is_refused = settings.is_shed_counted_as_attempt
             return "every backend server is busy" if is_refused else ""
         case _:
@@ -140,18 +143,18 @@
 ) -> AttemptOutcome:
     """Return the outcome that a response stands for.
 
-    ``is_relay`` says that it came by way of another VM of the fleet.
+    ``is_relay`` says that it came by way of another VM of the fleet. What that VM says
+    itself names no instance; a status below 500 then holds only for what it knows.
     """
     if not is_relay:
         return classify_status(head.status, is_certified_not_run(settings, head))
-    is_not_run = head.header(RAN_HEADER) == Execution.NOT_RUN.value.encode()
-    # This VM accepted the request, so the other one may lack a route, a limit or a key.
-    is_rejected = (
-        FIRST_REJECTION_STATUS <= head.status < FIRST_FAULT_STATUS
-        and read_instance_key(head) is None
-    )
-    if is_not_run and (head.status == RELAY_REFUSAL_STATUS or is_rejected):
+    ran = head.header(RAN_HEADER)
+    is_of_vm = ran is not None and head.header(INSTANCE_HEADER) is None
+    is_refusal = is_of_vm or head.status == RELAY_REFUSAL_STATUS
+    if is_refusal and ran == Execution.NOT_RUN.value.encode():
         return RelayRefused(head.status)
+    if is_of_vm and FIRST_DENIAL_STATUS <= head.status < FIRST_FAULT_STATUS:
+        return RelayFailed(head.status)
     is_signed = head.header(settings.names.signature) is not None
     return Relayed(head.status, is_signed and head.status < FIRST_FAULT_STATUS)
 
--- a/src/galenaferry/requests/tests/test_interface.py
+++ b/src/galenaferry/requests/tests/test_interface.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from galenaferry.attempts.messages import Relayed, RelayRefused
+from galenaferry.attempts.messages import Relayed, RelayFailed, RelayRefused
 from galenaferry.framing.messages import ResponseHead
 from galenaferry.requests.interface import (
     HeaderNames,
@@ -73,6 +73,31 @@
     assert is_certified_not_run(SETTINGS, response) is is_certified
 
 
+OF_A_VM = {"galenaferry_ran": b"not-run"}
+OF_AN_INSTANCE = {"galenaferry_relayed_instance": b"0" * 16, "signature": b"s"}
+
+
+@pytest.mark.parametrize("status", [400, 403, 404, 413, 421, 429, 431, 500, 503])
+def test_what_another_vm_itself_refuses_is_no_answer_to_the_caller(status):
+    response = head(status, **OF_A_VM)
+    assert classify_response(SETTINGS, response, True) == RelayRefused(status)
+
+
+@pytest.mark.parametrize(
+    ("response", "outcome"),
+    [
+        (head(404, **OF_AN_INSTANCE), Relayed(404, True)),
+        (head(404, **OF_A_VM, **OF_AN_INSTANCE), Relayed(404, True)),
+        (head(404, signature=b"s"), Relayed(404, True)),
+        (head(503, **OF_A_VM, **OF_AN_INSTANCE), RelayRefused(503)),
+        (head(413, galenaferry_ran=b"unknown"), RelayFailed(413)),
+        (head(502, galenaferry_ran=b"unknown"), Relayed(502, False)),
+    ],
+)
+def test_answers_of_instances_by_way_of_another_vm_are_passed_on(response, outcome):
+    assert classify_response(SETTINGS, response, True) == outcome
+
+
 def test_a_truncated_buffered_answer_is_retried_elsewhere():
     text = "[defaults]\nretry_budget_percent = 100\nmax_attempts = 2\n"
     bench = Bench(text, [faulty(truncate_part=1.0), healthy()], settings=BUFFERING)
