Keep the ports of test instances that refuse connections

Seen: on a shared machine a run of relay/ now and then failed: a cut VM was not cut off, or its requests got "a request without the header of a VM of this fleet" (2 of 9 runs beside other test runs). Cause: a refusing instance closes its listener, and a listener of another run, or of the same fleet, got its port. Change: the port stays bound without a listener. Evidence: 12000 new listeners got none of 300 such ports, connections to 50 of them were refused; 8 of 8 runs beside the same load (load average 16) pass.

--- a/src/galenaferry/tests/simulated_instances.py
+++ b/src/galenaferry/tests/simulated_instances.py
@@ -1,11 +1,13 @@
 """Instances of a simulated fleet, and connections to them that hang."""
 
+import socket
 from collections import deque
 from typing import NamedTuple
 
 from galenaferry.backends.messages import Instance
 from galenaferry.framing.messages import RequestHead
 from galenaferry.framing.requests import RequestLimits, RequestReader
+from galenaferry.ini import parse_address
 from galenaferry.network.listener import Listener
 from galenaferry.network.stream import Stream
 from galenaferry.platform.headers import HEADER_NAMES
@@ -42,6 +44,7 @@
         self.closing_for_vms = set()
         self.listener_by_vm = {}
         self.address_by_vm = {}
+        self.reserved_by_vm = {}
         self.instance = Instance(
             f"{HOST}:1",
             "bookings",
@@ -65,6 +68,8 @@
     def refuse(self, vm_number):
         """Refuse new connections of a VM; open ones go on."""
         self.listener_by_vm[vm_number].close()
+        if vm_number not in self.reserved_by_vm:
+            self.reserved_by_vm[vm_number] = _reserve(self.address_by_vm[vm_number])
 
     def mute(self, vm_number):
         """Neither read nor write on the open connections of a VM any more."""
@@ -77,7 +82,8 @@
         """End ``refuse``, and the closing of new connections."""
         self.closing_for_vms.discard(vm_number)
         if not self.listener_by_vm[vm_number].is_open:
-            address = HOST, int(self.address_by_vm[vm_number].rpartition(":")[2])
+            self.reserved_by_vm.pop(vm_number).close()
+            address = parse_address(self.address_by_vm[vm_number])
             self.listener_by_vm[vm_number] = Listener(
                 self.fleet.loop, address, lambda sock: self._accept(sock, vm_number)
             )
@@ -92,8 +98,8 @@
     def crash(self):
         """End: close the listeners and all connections at once."""
         self.is_up = False
-        for listener in self.listener_by_vm.values():
-            listener.close()
+        for vm_number in self.listener_by_vm:
+            self.refuse(vm_number)
         self.reset()
 
     def run(self, connection):
@@ -129,6 +135,15 @@
         self.connections.add(InstanceConnection(self, sock, vm_number))
 
 
+def _reserve(address):
+    """Return a socket that keeps a port, which refuses connections, from others."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(parse_address(address))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)
+    return sock
+
+
 class InstanceConnection:
     """A connection from a VM to an instance."""
 
