Read the header between VMs of builds with other parts

What callers saw: none reported; found by reading. Cause: the parts of a header with the right code were taken to be three. Evidence: the test failed before with ValueError for two and for four parts. Change: two parts name no leaving instances; with more than three the request is refused with 503, not run, as they may say what must be kept to.

--- a/src/galenaferry/relay/origin.py
+++ b/src/galenaferry/relay/origin.py
@@ -98,17 +98,15 @@
         expected = self._compute_mac(head, request_id, text)
         if not hmac.compare_digest(mac, expected):
             return Err("a request with a wrong header of a VM of this fleet")
-        caller, kind, keys = text.split(b" ")
-        parsed = [parse_key(key) for key in keys.split(b",") if key]
-        leaving_keys = tuple(key for key in parsed if key is not None)
-        return Ok(
-            Origin(
-                caller.decode("latin-1"),
-                is_relayed=True,
-                is_trial=kind == TRIAL,
-                leaving_keys=leaving_keys,
-            )
-        )
+        match text.split(b" "):
+            # The first build with this header names no leaving instances.
+            case [caller, kind, *keys] if len(keys) <= 1:
+                parsed = [parse_key(key) for part in keys for key in part.split(b",")]
+                leaving_keys = tuple(key for key in parsed if key is not None)
+                is_trial = kind == TRIAL
+                name = caller.decode("latin-1")
+                return Ok(Origin(name, True, is_trial, leaving_keys))
+        return Err("a request with an unknown header of a VM of this fleet")
 
     def _compute_mac(self, head: RequestHead, request_id: bytes, text: bytes) -> bytes:
         digest = hashlib.blake2b(digest_size=MAC_BYTES, key=self._key)
--- a/src/galenaferry/relay/tests/earlier_build.py
+++ b/src/galenaferry/relay/tests/earlier_build.py
@@ -3,6 +3,7 @@
 from galenaferry.attempts.messages import Execution, Relayed, RelayRefused
 from galenaferry.attempts.outcomes import classify_status
 from galenaferry.framing.limits import limit_callers
+from galenaferry.relay.origin import RELAY_HEADER, RelayAuthentication
 from galenaferry.relay.relay_vms import RelayVms
 from galenaferry.requests import exchange, interface
 from galenaferry.requests.messages import RAN_HEADER
@@ -35,3 +36,16 @@
     monkeypatch.setattr(exchange, "refusal_status", lambda origin, status: status)
     monkeypatch.setattr(exchange, "lift_body_limit", lambda route, origin: route)
     monkeypatch.setattr(fleet, "limit_vms", limit_callers)
+
+
+def use_header_with_parts(monkeypatch, count):
+    """Let the header between VMs have so many parts before its code.
+
+    Commits from be67ee8 up to 7794957 have two, as they name no leaving instances.
+    """
+
+    def header(self, head, request_id, origin):
+        text = b" ".join([origin.caller.encode(), b"request", b"", b"x"][:count])
+        return RELAY_HEADER, text + b" " + self._compute_mac(head, request_id, text)
+
+    monkeypatch.setattr(RelayAuthentication, "header", header)
--- a/src/galenaferry/relay/tests/test_differing_vms.py
+++ b/src/galenaferry/relay/tests/test_differing_vms.py
@@ -9,6 +9,7 @@
 from galenaferry.relay.tests.earlier_build import (
     be_earlier_first_hop,
     be_earlier_second_hop,
+    use_header_with_parts,
 )
 from galenaferry.tests.fleet import Fleet, make_document
 
@@ -217,3 +218,13 @@
     above = send(fleet, "POST", "/book/", 0.1, lines=f"Note: {'n' * 980}\r\n")
     assert {request.status for request in above} == {431}
     fleet.denied.clear()
+
+
+@pytest.mark.parametrize("parts", [2, 4])
+def test_requests_with_a_header_of_another_build_are_not_left_without_an_answer(
+    monkeypatch, parts
+):
+    use_header_with_parts(monkeypatch, parts)
+    fleet = make_cut_fleet(monkeypatch)
+    statuses = {request.status for request in send(fleet, "POST", "/book/", 1.0)}
+    assert statuses == ({200} if parts == 2 else {503})
