Let the soak find proper requests that VMs deny

The soak reported 404 only, and its routes were those of the start of the run, so that a VM that is behind never lacked one. Change: each 4xx but 408, 421 and 429 is a finding, with the VM and its reason, and no fault excuses it (instances send none that is passed on). Each configuration that the soak writes adds a route; a fifth of the queries go to the newest one that all VMs must know (2 s). Evidence: the check's own tests (403, 404 and 431 are found; 408, 421, 429 and 503 are not).

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,13 +3,20 @@
 from collections import Counter
 from random import Random
 
+from galenaferry.clock import Millis
 from galenaferry.network.loop import Loop
 
 from .connections import ClientConnection
 from .instances import ExecutionRecord, expected_body
+from .timing import APPLY_MS
 
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that promise that the request was not executed."""
+TRUE_REFUSALS = NOT_EXECUTED_STATUSES - {503}
+"""Statuses below 500 with which a VM may answer a proper request. Instances send none
+that is passed on."""
+NEW_ROUTE_SHARE = 0.2
+"""Share of the queries that go to the newest route that all VMs must know."""
 MAX_IDLE_PER_VM = 4
 """Idle connections to one VM that are kept for later requests."""
 
@@ -68,11 +75,18 @@
         self._request_by_connection[connection] = request
         now = self._loop.clock.now()
         self._record.timing.on_request_sent(request, address, now)
-        method, prefix = ("POST", "/book/") if is_booking else ("GET", "/query/")
+        method, prefix = "GET", self._choose_query_prefix(now)
         if is_booking:
+            method, prefix = "POST", "/book/"
             self.bookings.add(request)
         _send(connection, method, f"{prefix}{request}", request)
 
+    def _choose_query_prefix(self, now: Millis) -> str:
+        routes = self._record.new_routes
+        known = [prefix for at, prefix in routes if at <= now - APPLY_MS]
+        is_new = self._random.random() < NEW_ROUTE_SHARE
+        return known[-1] if known and is_new else "/query/"
+
     def send_crashing_request(self, target: str) -> None:
         """Send a request to a random VM that crashes each instance that runs it."""
         self._request_count += 1
@@ -145,8 +159,10 @@
             add_finding(f"{request} got an answer to another request")
         if head.status == 200 and connection.body != expected_body(request):
             add_finding(f"{request} got a success with another body")
-        if head.status == 404:
-            add_finding(f"{request} was denied")
+        if 400 <= head.status < 500 and head.status not in TRUE_REFUSALS:
+            reason = (head.header(b"galenaferry-reason") or b"").decode()
+            vm = connection.address[0]
+            add_finding(f"{request} was denied by {vm}: {head.status} {reason}")
 
 
 def _send(connection: ClientConnection, method: str, target: str, request: str) -> None:
--- a/soak/documents.py
+++ b/soak/documents.py
@@ -3,11 +3,19 @@
 from typing import Any
 
 
-def make_configuration(version: int, service: str) -> dict[str, Any]:
-    """Return a configuration that routes bookings to a service."""
+def make_configuration(
+    version: int, service: str, new_prefixes: list[str]
+) -> dict[str, Any]:
+    """Return a configuration that routes bookings to a service.
+
+    ``new_prefixes`` are those of further routes of queries.
+    """
     rows = [
         {"prefix": "/book/", "kind": "non_idempotent", "service": service},
-        {"prefix": "/query/", "kind": "idempotent", "service": "one"},
+    ]
+    rows += [
+        {"prefix": prefix, "kind": "idempotent", "service": "one"}
+        for prefix in ("/query/", *new_prefixes)
     ]
     common = {"host": "soak.example", "timeoutMs": 2000, "targetLatencyMs": 200}
     common |= {"maxAttempts": 2, "priority": 1}
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from random import Random
 
+from galenaferry.clock import Millis
 from galenaferry.network.loop import Loop
 
 from .connections import ServerConnection, serve
@@ -26,7 +27,10 @@
 
 
 class ExecutionRecord:
-    """Executions and findings of one run, shared by instances and callers."""
+    """Executions and findings of one run, shared by instances and callers.
+
+    ``new_routes`` are the prefixes that the operator added, and when.
+    """
 
     def __init__(self) -> None:
         self.runs_by_request: Counter[str] = Counter()
@@ -34,6 +38,7 @@
         self.findings: list[str] = []
         self.timing = TimingChecks(self.findings)
         self.crashing_targets: set[str] = set()
+        self.new_routes: list[tuple[Millis, str]] = []
         self.crashes = CrashChecks(self.timing)
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -366,13 +366,16 @@
         self.store.put("servers", name, instance.row("ready"))
 
     def _write_configuration(self, service: str) -> None:
-        """Write a configuration that routes bookings to a service."""
+        """Write a configuration that routes bookings to a service, and a new route."""
         self._version += self.random.randrange(1, 4)
         self.injected_faults.append(f"configuration {self._version} to {service}")
-        document = make_configuration(self._version, service)
+        now = self.loop.clock.now()
+        self.record.new_routes.append((now, f"/new-{self._version}/"))
+        prefixes = [prefix for _, prefix in self.record.new_routes]
+        document = make_configuration(self._version, service, prefixes)
         self._configuration = document
         self.store.put("op", "config", document)
-        self.record.timing.on_configuration_written(service, self.loop.clock.now())
+        self.record.timing.on_configuration_written(service, now)
 
     def _end_faults(self) -> None:
         """End all faults but killed and stopped VMs, whose starts are scheduled."""
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -77,6 +77,8 @@
         ),
         (lambda request: response(200, request, b"other"), "another body"),
         (lambda request: response(404, request, b""), "denied"),
+        (lambda request: response(403, request, b""), "denied"),
+        (lambda request: response(431, request, b""), "denied"),
         (lambda request: response(503, request, b"") + b"more", "nobody asked for"),
     ],
 )
@@ -85,6 +87,12 @@
     assert any(text in finding for finding in record.findings)
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_refusals_that_may_be_true_are_not_reported(status):
+    record, _ = run_requests(lambda request: response(status, request, b""))
+    assert record.findings == []
+
+
 def test_booking_run_twice_or_reported_not_run_is_reported():
     record, callers = run_requests(lambda request: response(503, request, b""))
     first, second = sorted(callers.bookings)[:2]
