--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -29,9 +29,8 @@
     TableSource,
     TableUpdate,
 )
-from .news import News
+from .peer_fetches import FetchFromPeer, PeerFetches
 from .readers import ANNOUNCE_INTERVAL_MS, needs_own_read
-from .sources import PeerSources
 
 SHORT_POLL_MS: Final = 1.0
 """Time after which the store answers a VM that needs to know at once."""
@@ -55,16 +54,9 @@
 MAX_NOTICE_ROWS: Final = 10
 """Largest number of rows in a notice; at about 250 bytes each they fill two
 packets."""
-NEWS_FETCH_SPREAD_MS: Final = 100.0
-"""Time over which the VMs of a zone spread their fetches after a notice. They then know
-of all readers, and don't all ask the one that was first to tell."""
 NEWS_READ_DELAY_MS: Final = 1_000.0
 """Time in which other VMs should send changes of which a notice told, before the store
 is asked as well."""
-PEER_RETRY_MS: Final = 50.0
-"""Delay after a failed fetch before another VM is asked; it doubles with each further
-one."""
-MAX_PEER_RETRY_MS: Final = 1_000.0
 MAX_NOTICE_BYTES: Final = 8_192
 """Largest size of the rows in a notice. A reader sends it to all VMs of its zone: half
 a megabyte to 58 of them, 0.4 s on a link of 10 Mbit/s."""
@@ -73,13 +65,6 @@
 PEER_FETCH_DELAY_MS: Final = 250.0
 """Time in which the VM's own read should return changes that another VM has."""
 
-FetchFromPeer = Callable[
-    [str, str, StoreVersion, Callable[[Result[TableUpdate, TableError]], None]], None
-]
-"""Fetches the changes of a table after a version from the VM at an address.
-
-Its arguments are address, table, version and callback."""
-
 log = logger("discovery")
 
 
@@ -141,7 +126,16 @@
         on_restored: Callable[[], None] = lambda: None,
         is_near: Callable[[str], bool] = lambda address: True,
     ) -> None:
-        self._sources = PeerSources(is_near, random)
+        self._peers = PeerFetches(
+            loop,
+            settings.table,
+            fetch_from_peer,
+            is_near,
+            random,
+            lambda: self.version,
+            self._on_peer_update,
+            self._on_peer_failure,
+        )
         self._on_restored = on_restored
         self._is_designated_reader = is_designated_reader
         self._broadcast = broadcast
@@ -149,25 +143,19 @@
         self._starts_reading_at: Millis = -math.inf
         # Whether the pending read is to return news that other VMs have not sent.
         self._is_news_read = False
-        self._is_fetch_due = False
-        self._peer_retry_delay = PEER_RETRY_MS
-        self._peer_retry: Timer | None = None
         self._is_news_read_due = False
         self._is_reading = False
         self._history = TableHistory()
         self._loop = loop
         self._settings = settings
         self._source = source
-        self._fetch_from_peer = fetch_from_peer
         self._random = random
         self._on_change = on_change
         self._backoff = INITIAL_BACKOFF_MS
         self._read_number = 0
         self._needs_full_read = True
-        self._is_fetching = False
         self._timer: Timer | None = None
         self.version = NO_VERSION
-        self._news = News(NO_VERSION)
         # Latest time at which the store is known to have had no newer changes.
         self._confirmed_at: Millis = -math.inf
         # Version of the latest result of this VM's own reads, and the one after which
@@ -199,7 +187,7 @@
     @property
     def is_behind(self) -> bool:
         """Whether another VM has lately told of changes that this copy lacks."""
-        return self._news.is_newer_than(self.version, self._loop.clock.now())
+        return self._peers.is_behind
 
     @property
     def is_outage_confirmed(self) -> bool:
@@ -237,14 +225,14 @@
 
     def on_peer_version(self, address: str, version: StoreVersion) -> None:
         """Fetch from another VM if its version stays newer than this VM's."""
-        self._on_version_heard(address, version)
+        self._peers.on_version(address, version)
         if version <= self.version:
             return
         if self.is_loaded:
-            self._loop.after(PEER_FETCH_DELAY_MS, self._fetch_if_behind)
+            self._loop.after(PEER_FETCH_DELAY_MS, self._peers.fetch)
         else:
             # Nothing can be served until the table is known.
-            self._fetch_if_behind()
+            self._peers.fetch()
 
     def _on_notice_confirmed(self, notice: TableNotice) -> None:
         """Record until when the store had no changes that this copy lacks."""
@@ -253,17 +241,13 @@
             age = LONG_POLL_MS
         self._confirmed_at = max(self._confirmed_at, self._loop.clock.now() - age)
 
-    def _on_version_heard(self, address: str, version: StoreVersion) -> None:
-        self._news.on_version(version, self._loop.clock.now())
-        self._sources.on_version(address, version)
-
     def on_notice(self, address: str, notice: TableNotice) -> None:
         """Apply a reader's notice, or fetch from the reader what is missing.
 
         A VM that reads the table itself fetches only if its read is late.
         """
         now = self._reader_seen_at = self._loop.clock.now()
-        self._on_version_heard(address, notice.version)
+        self._peers.on_version(address, notice.version)
         if notice.failed_ago < NEVER_FAILED_MS:
             self.failed_at = max(self.failed_at or 0.0, now - notice.failed_ago)
         if notice.version <= self.version:
@@ -291,7 +275,7 @@
         if not self._is_reading or self._read_version >= notice.version:
             return
         if self.version < notice.version:
-            self._fetch_if_behind()
+            self._peers.fetch()
             return
         self._forward(notice)
         if self._reads_after >= notice.version:
@@ -316,19 +300,13 @@
     def _catch_up(self) -> None:
         """Get news from another VM, and from the store if that takes long."""
         if not self.is_loaded:
-            self._fetch_if_behind()
-        elif not self._is_fetch_due:
-            self._is_fetch_due = True
-            spread = NEWS_FETCH_SPREAD_MS * self._random.random()
-            self._loop.after(spread, self._fetch_news)
+            self._peers.fetch()
+        else:
+            self._peers.fetch_soon()
         if not self._is_news_read_due:
             self._is_news_read_due = True
             self._loop.after(NEWS_READ_DELAY_MS, self._read_news)
 
-    def _fetch_news(self) -> None:
-        self._is_fetch_due = False
-        self._fetch_if_behind()
-
     def _read_news(self) -> None:
         self._is_news_read_due = False
         if self.is_behind and not self._is_reading:
@@ -399,50 +377,13 @@
             now - self._confirmed_at if self._confirmed_at > -math.inf else None,
         )
 
-    def _fetch_if_behind(self) -> None:
-        """Ask another VM for the changes that this copy lacks, one VM at a time."""
-        if not self.is_behind or self._is_fetching:
-            return
-        address = self._sources.choose(self.version, self._loop.clock.now())
-        if address is None:
-            return
-        self._is_fetching = True
-        self._fetch_from_peer(
-            address,
-            self._settings.table,
-            self.version,
-            lambda result: self._on_peer_update(address, result),
-        )
+    def _on_peer_failure(self) -> None:
+        """Read the store as well: the other VMs may be out of reach."""
+        if self._settings.is_shared and not self._is_reading:
+            self._is_news_read = True
+            self._read()
 
-    def _on_peer_update(
-        self, address: str, result: Result[TableUpdate, TableError]
-    ) -> None:
-        self._is_fetching = False
-        if isinstance(result, Err):
-            log.warning(
-                "fetching the table from another VM failed",
-                table=self._settings.table,
-                vm=address,
-                error=result.err_value.text,
-            )
-            self._retry_fetch(address)
-            if self._settings.is_shared and not self._is_reading:
-                self._is_news_read = True
-                self._read()
-            return
-        update = result.ok_value
-        if update.version <= self.version:
-            if self.is_behind:
-                self._retry_fetch(address)
-            return
-        self._peer_retry_delay = PEER_RETRY_MS
-        log.info(
-            "table updated from another VM",
-            table=self._settings.table,
-            vm=address,
-            version=update.version,
-            had=self.version,
-        )
+    def _on_peer_update(self, update: TableUpdate) -> None:
         has_changed = self._apply(update)
         if update.is_snapshot:
             # The store has the changes after it, or says that it has not.
@@ -452,18 +393,6 @@
         if has_changed and self._is_reading and not self.is_store_unavailable:
             # The pending read missed these changes: its connection may be dead.
             self._read()
-        # Changes that came while this fetch was under way.
-        self._fetch_if_behind()
-
-    def _retry_fetch(self, address: str) -> None:
-        """Ask another VM soon, later after each further failure in a row."""
-        self._sources.on_failure(address, self._loop.clock.now())
-        if self._peer_retry is not None:
-            self._peer_retry.cancel()
-        self._peer_retry = self._loop.after(
-            self._peer_retry_delay, self._fetch_if_behind
-        )
-        self._peer_retry_delay = min(MAX_PEER_RETRY_MS, 2.0 * self._peer_retry_delay)
 
     def _read(self) -> None:
         """Start a read, which lets the store wait for changes if there is time.
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -8,14 +8,13 @@
 
 from galenaferry.discovery.follower import (
     MAX_CONFIRMATION_AGE_MS,
-    NEWS_FETCH_SPREAD_MS,
     NEWS_READ_DELAY_MS,
-    PEER_RETRY_MS,
     ROLE_DELAY_MS,
 )
 from galenaferry.discovery.history import TableHistory
 from galenaferry.discovery.messages import TableError, TableNotice, TableRow
 from galenaferry.discovery.news import MAX_NEWS_AGE_MS
+from galenaferry.discovery.peer_fetches import FETCH_SPREAD_MS, RETRY_MS
 from galenaferry.discovery.readers import (
     MIN_READERS,
     READER_TIMEOUT_MS,
@@ -114,7 +113,7 @@
 def test_rows_of_a_lost_notice_are_fetched_after_the_next_notice():
     bench = make_non_reader()
     bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(12), at(12), ()))
-    bench.run_for(NEWS_FETCH_SPREAD_MS)
+    bench.run_for(FETCH_SPREAD_MS)
     address, done = bench.peer_fetches[0]
     done(Ok(table_update(12, config=b"two")))
     assert address == "10.0.0.1:7000"
@@ -124,7 +123,7 @@
 def test_notice_after_a_gap_leads_to_a_fetch():
     bench = make_non_reader()
     bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(11), at(12), TWO))
-    bench.run_for(NEWS_FETCH_SPREAD_MS)
+    bench.run_for(FETCH_SPREAD_MS)
     assert bench.changes == [ONE]
     assert len(bench.peer_fetches) == 1
 
@@ -196,14 +195,14 @@
         else:
             bench.follower.on_notice("10.0.0.1:7000", notice)
         if random.random() < 0.5:
-            bench.run_for(NEWS_FETCH_SPREAD_MS)
+            bench.run_for(FETCH_SPREAD_MS)
         if bench.peer_fetches:
             rows = tuple(TableRow(k, v) for k, v in expected.items())
             bench.peer_fetches.pop()[1](Ok(table_update(version)._replace(rows=rows)))
         if missed and random.random() < 0.2:
             bench.follower.on_notice("10.0.0.2:7000", missed.pop(0))
     bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(version), at(version), ()))
-    bench.run_for(NEWS_FETCH_SPREAD_MS)
+    bench.run_for(FETCH_SPREAD_MS)
     if bench.peer_fetches:
         rows = tuple(TableRow(k, v) for k, v in expected.items())
         bench.peer_fetches.pop()[1](Ok(table_update(version)._replace(rows=rows)))
@@ -230,7 +229,7 @@
     bench.source.calls.clear()
     for address in ("10.0.0.1:7000", "10.0.0.2:7000"):
         bench.follower.on_notice(address, TableNotice(at(12), at(12), ()))
-    bench.run_for(NEWS_FETCH_SPREAD_MS)
+    bench.run_for(FETCH_SPREAD_MS)
     return bench
 
 
@@ -295,7 +294,7 @@
 def test_news_that_came_during_a_fetch_is_fetched_right_after_it():
     bench = make_vm_with_news()
     bench.follower.on_notice("10.0.0.2:7000", TableNotice(at(14), at(14), ()))
-    bench.run_for(NEWS_FETCH_SPREAD_MS)
+    bench.run_for(FETCH_SPREAD_MS)
     assert len(bench.peer_fetches) == 1
     bench.peer_fetches[0][1](Ok(table_update(12, config=b"two")))
     address, done = bench.peer_fetches[1]
@@ -308,7 +307,7 @@
     bench = make_vm_with_news()
     first, done = bench.peer_fetches[0]
     done(Err(TableError("no answer within 1000 ms")))
-    bench.run_for(PEER_RETRY_MS + 5.0)
+    bench.run_for(RETRY_MS + 5.0)
     second, done = bench.peer_fetches[1]
     assert {first, second} == {"10.0.0.1:7000", "10.0.0.2:7000"}
     done(Ok(table_update(12, config=b"two")))
@@ -319,7 +318,7 @@
     bench = make_non_reader()
     bench.source.calls.clear()
     bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(12), at(12), ()))
-    bench.run_for(NEWS_FETCH_SPREAD_MS)
+    bench.run_for(FETCH_SPREAD_MS)
     bench.peer_fetches[0][1](Err(TableError("no answer within 1000 ms")))
     bench.source.answer(table_update(12, config=b"two"))
     assert bench.changes[-1] == TWO
--- a/src/galenaferry/node/configuration.py
+++ b/src/galenaferry/node/configuration.py
@@ -11,7 +11,6 @@
 from result import Err, Result
 
 from ..clock import Millis
-from ..discovery.follower import FetchFromPeer
 from ..discovery.messages import (
     NO_VERSION,
     StoreVersion,
@@ -20,6 +19,7 @@
     TableUpdate,
 )
 from ..discovery.news import News
+from ..discovery.peer_fetches import FetchFromPeer
 from ..logs import logger
 from ..network.loop import Loop
 from ..routing.hosts import HostRouteTable
