Name leaving instances to other VMs that this VM no longer lists

Cause: a cut VM names the leaving instances of a service that it lists; after a restore of the store it had just removed the row, while another VM, started 0.3 s before, listed the instance as ready and chose it. Change: announced instances that are no longer listed are named as well, the latest first, within the header's 32. Evidence: the new test failed before (one request reached the instance).

--- a/src/galenaferry/placing/announcements.py
+++ b/src/galenaferry/placing/announcements.py
@@ -95,12 +95,23 @@
         )
 
     def unusable_leaving(
-        self, names: list[str], drain_timeout: Millis, now: Millis
+        self,
+        names: list[str],
+        listed: frozenset[str],
+        drain_timeout: Millis,
+        now: Millis,
     ) -> list[str]:
-        """Return the names of leaving instances that get no new requests at all."""
+        """Return the names of leaving instances that get no new requests at all.
+
+        Those among ``names`` come first, then those that are not ``listed`` any more,
+        the latest ones first: other VMs may still list them.
+        """
+        unlisted = [
+            name for name in reversed(self._leaving_since_by_name) if name not in listed
+        ]
         return [
             name
-            for name in names
+            for name in names + unlisted
             if name in self._leaving_since_by_name
             and self._usability(name, drain_timeout, now) is Usability.UNUSABLE
         ]
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -84,6 +84,7 @@
         self._announcements = Announcements()
         self._request_limits = RequestLimits(random, loop.clock.now())
         self._instance_by_key: dict[int, Instance] = {}
+        self._listed_names: frozenset[str] = frozenset()
         self._instance_by_address: dict[str, Instance] = {}
         self._pool_by_name: dict[str, InstancePool] = {}
         self._routes = RouteStatistics()
@@ -101,7 +102,7 @@
             by_service.setdefault(instance.service, []).append(instance)
         self.by_service = {name: tuple(rows) for name, rows in by_service.items()}
         self._instance_by_address = {i.address: i for i in present}
-        names = frozenset(i.name for i in present)
+        names = self._listed_names = frozenset(i.name for i in present)
         self._instance_by_key = {instance_key(i.name): i for i in present}
         self._posteriors.retain_only(names)
         self._reachability.retain_only(names)
@@ -219,9 +220,12 @@
     def unusable_leaving_keys(self, service: str) -> tuple[int, ...]:
         """Return the keys of leaving instances that get no new requests at all."""
         names = [instance.name for instance in self.by_service.get(service, ())]
-        drain_timeout = self.settings.drain_timeout
-        now = self._loop.clock.now()
-        leaving = self._announcements.unusable_leaving(names, drain_timeout, now)
+        leaving = self._announcements.unusable_leaving(
+            names,
+            self._listed_names,
+            self.settings.drain_timeout,
+            self._loop.clock.now(),
+        )
         return tuple(map(instance_key, leaving))
 
     def on_unusable_leaving(self, keys: Iterable[int], source: str) -> None:
--- a/src/galenaferry/relay/tests/test_relayed_announcements.py
+++ b/src/galenaferry/relay/tests/test_relayed_announcements.py
@@ -131,3 +131,17 @@
     relayed = send(fleet, "relayed")
     assert {request.status for request in relayed} == {200}
     assert not is_told(relayed, "galenaferry-relayed-instance")
+
+
+def test_a_leaving_instance_is_named_by_a_vm_that_no_longer_lists_it(fleet):
+    server = announce(fleet, LEAVING)
+    assert is_told(send(fleet, "told"), "server-leaving")
+    cut(fleet)
+    fleet.run(DRAIN_TIMEOUT_S)
+    restart_others(fleet)
+    first = fleet.vms[CUT_VM]
+    others = [other for other in fleet.listed if other is not server]
+    first.replace_instances(tuple(other.seen_by(CUT_VM) for other in others))
+    requests = send(fleet, "late")
+    assert {request.status for request in requests} == {200}
+    assert reached(fleet, server, "late") == []
