--- a/soak/callers.py
+++ b/soak/callers.py
@@ -165,7 +165,7 @@
         if 400 <= head.status < 500 and head.status not in TRUE_REFUSALS:
             reason = (head.header(b"galenaferry-reason") or b"").decode()
             vm = connection.address[0]
-            add_finding(f"{request} was denied by {vm}: {head.status} {reason}")
+            add_finding(f"{request} was rejected by {vm}: {head.status} {reason}")
 
 
 def _send(connection: ClientConnection, method: str, target: str, request: str) -> None:
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -76,9 +76,9 @@
             "another request",
         ),
         (lambda request: response(200, request, b"other"), "another body"),
-        (lambda request: response(404, request, b""), "denied"),
-        (lambda request: response(403, request, b""), "denied"),
-        (lambda request: response(431, request, b""), "denied"),
+        (lambda request: response(404, request, b""), "rejected"),
+        (lambda request: response(403, request, b""), "rejected"),
+        (lambda request: response(431, request, b""), "rejected"),
         (lambda request: response(503, request, b"") + b"more", "nobody asked for"),
     ],
 )
--- a/src/galenaferry/relay/tests/conftest.py
+++ b/src/galenaferry/relay/tests/conftest.py
@@ -1,3 +1,3 @@
-"""No VM denies a proper request in any test of this folder."""
+"""No VM rejects a proper request in any test of this folder."""
 
-from galenaferry.tests.denials import no_proper_request_is_denied  # noqa: F401
+from galenaferry.tests.rejections import no_proper_request_is_rejected  # noqa: F401
--- a/src/galenaferry/relay/tests/test_differing_vms.py
+++ b/src/galenaferry/relay/tests/test_differing_vms.py
@@ -94,7 +94,7 @@
     fleet = cut_fleet()
     fleet.configure(newer, NEWER)
     assert served_share(send(fleet, "GET", "/new/")) >= 0.95
-    assert not fleet.denied
+    assert not fleet.rejected
 
 
 def test_a_route_that_no_other_vm_knows_yet_is_refused_with_a_time_to_retry(cut_fleet):
@@ -103,7 +103,7 @@
     assert are_refused_with_a_time_to_retry(send(fleet, "GET", "/new/", 1.0))
 
 
-def test_a_route_that_the_newer_configuration_of_other_vms_lacks_is_not_denied(
+def test_a_route_that_the_newer_configuration_of_other_vms_lacks_is_not_rejected(
     cut_fleet,
 ):
     fleet = cut_fleet()
@@ -130,7 +130,7 @@
 
 
 @pytest.mark.parametrize("chunks", [0, 2_000])
-def test_bodies_above_the_limit_of_other_vms_are_not_denied(cut_fleet, chunks):
+def test_bodies_above_the_limit_of_other_vms_are_not_rejected(cut_fleet, chunks):
     fleet = cut_fleet()
     fleet.configure((1, 2, 3), make_document(2, limits=TIGHT))
     requests = send(fleet, "POST", "/book/", chunks=chunks)
@@ -139,7 +139,7 @@
 
 
 @pytest.mark.parametrize(("method", "prefix"), KNOWN_ROUTES)
-def test_heads_above_the_limit_of_other_vms_are_not_denied(cut_fleet, method, prefix):
+def test_heads_above_the_limit_of_other_vms_are_not_rejected(cut_fleet, method, prefix):
     fleet = cut_fleet()
     fleet.configure((1, 2, 3), make_document(2, limits=TIGHT_HEADS))
     requests = send(fleet, method, prefix, lines=LONG_HEADER)
@@ -190,7 +190,7 @@
 
 
 @pytest.mark.parametrize(("method", "prefix"), KNOWN_ROUTES)
-def test_a_cut_vm_of_the_earlier_build_is_not_denied_requests_for_its_key(
+def test_a_cut_vm_of_the_earlier_build_is_not_rejected_for_its_key(
     earlier_cut_fleet, method, prefix
 ):
     fleet = earlier_cut_fleet(key_by_vm={1: b"other", 3: b"other"})
@@ -217,7 +217,7 @@
     assert served_share(requests) == 1.0
     above = send(fleet, "POST", "/book/", 0.1, lines=f"Note: {'n' * 980}\r\n")
     assert {request.status for request in above} == {431}
-    fleet.denied = [request for request in fleet.denied if request not in above]
+    fleet.rejected = [request for request in fleet.rejected if request not in above]
 
 
 @pytest.mark.parametrize("parts", [2, 4])
--- a/src/galenaferry/relay/tests/test_reach.py
+++ b/src/galenaferry/relay/tests/test_reach.py
@@ -5,7 +5,6 @@
 import pytest
 
 from galenaferry.framing.messages import RequestHead
-from galenaferry.relay.denials import refusal_status
 from galenaferry.relay.origin import (
     RELAY_HEADER,
     Origin,
@@ -19,6 +18,7 @@
     RETURN_MS,
     OwnReach,
 )
+from galenaferry.relay.rejections import refusal_status
 from galenaferry.relay.relay_vms import (
     EXCLUDED_MS,
     MAX_IN_FLIGHT,
@@ -172,6 +172,6 @@
 @pytest.mark.parametrize(
     ("status", "expected"), [(400, 503), (404, 503), (413, 503), (502, 502), (504, 504)]
 )
-def test_nothing_is_denied_to_another_vm_as_it_may_know_better(status, expected):
+def test_nothing_of_another_vm_is_rejected_as_it_may_know_better(status, expected):
     assert refusal_status(Origin(is_relayed=True), status) == expected
     assert refusal_status(CALLER, status) == status
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -27,8 +27,8 @@
 from ..framing.heads import encode_request
 from ..framing.messages import Header, RequestHead, ResponseHead
 from ..relay.answers import instance_headers, without_instance
-from ..relay.denials import refusal_status
 from ..relay.origin import UNKNOWN_ORIGIN, Origin
+from ..relay.rejections import refusal_status
 from ..routing.table import NoRoute, Route, UnknownRoute
 from .admission import TOKEN_RECHECK_MS, Admission, AttemptPermit
 from .announcements import record_announcements
--- a/src/galenaferry/requests/interface.py
+++ b/src/galenaferry/requests/interface.py
@@ -19,7 +19,7 @@
 from ..clock import Millis
 from ..framing.messages import Header, ResponseHead
 from ..relay.answers import INSTANCE_HEADER
-from ..relay.denials import FIRST_DENIAL_STATUS, FIRST_FAULT_STATUS
+from ..relay.rejections import FIRST_FAULT_STATUS, FIRST_REJECTION_STATUS
 from .messages import (
     ATTEMPT_HEADER,
     DRAINING_HEADER,
@@ -152,7 +152,7 @@
     is_refusal = is_of_vm or head.status == RELAY_REFUSAL_STATUS
     if is_refusal and ran == Execution.NOT_RUN.value.encode():
         return RelayRefused(head.status)
-    if is_of_vm and FIRST_DENIAL_STATUS <= head.status < FIRST_FAULT_STATUS:
+    if is_of_vm and FIRST_REJECTION_STATUS <= head.status < FIRST_FAULT_STATUS:
         return RelayFailed(head.status)
     is_signed = head.header(settings.names.signature) is not None
     return Relayed(head.status, is_signed and head.status < FIRST_FAULT_STATUS)
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -60,7 +60,7 @@
 
 
 fleets = []
-"""The fleets of the current test (see ``denials``)."""
+"""The fleets of the current test (see ``rejections``)."""
 
 
 def make_document(
@@ -92,7 +92,7 @@
     """A request of a caller on a connection of its own.
 
     ``lines`` is text to add to its head, each line with its end. ``is_proper`` says
-    that no VM may deny it.
+    that no VM may reject it.
     """
 
     def __init__(
@@ -143,11 +143,11 @@
         if self.received:
             self.status = int(self.received.split(b" ", 2)[1])
         self.fleet.outcomes[self.vm.name, self.status] += 1
-        if self.is_proper and self.is_denied:
-            self.fleet.denied.append(self)
+        if self.is_proper and self.is_rejected:
+            self.fleet.rejected.append(self)
 
     @property
-    def is_denied(self):
+    def is_rejected(self):
         """Whether a VM itself answered that the request is wrong."""
         return (
             400 <= self.status < 500
@@ -269,7 +269,7 @@
 
     ``loss`` is the share of the messages between VMs that are lost. ``document`` is the
     configuration of all VMs at their start, and ``key_by_vm`` has the numbers of the
-    VMs whose key is another one. ``denied`` has the proper requests that a VM itself
+    VMs whose key is another one. ``rejected`` has the proper requests that a VM itself
     answered as wrong.
     """
 
@@ -289,7 +289,7 @@
         self.loop.register(Component())
         self.document = document or make_document()
         self.key_by_vm = key_by_vm or {}
-        self.denied = []
+        self.rejected = []
         fleets.append(self)
         self.loss = loss
         self.crashing = set()
--- a/src/galenaferry/tests/denials.py
+++ b/src/galenaferry/tests/rejections.py
@@ -6,9 +6,9 @@
 
 
 @pytest.fixture(autouse=True)
-def no_proper_request_is_denied():
+def no_proper_request_is_rejected():
     fleets.clear()
     yield
-    denied = [request for fleet in fleets for request in fleet.denied]
+    rejected = [request for fleet in fleets for request in fleet.rejected]
     fleets.clear()
-    assert not denied, [(r.vm.name, r.target, r.status, r.reason) for r in denied]
+    assert not rejected, [(r.vm.name, r.target, r.status, r.reason) for r in rejected]
