--- /dev/null
+++ b/src/galenaferry/discovery/tests/test_confirmation.py
@@ -0,0 +1,79 @@
+"""Until when a copy of a table is known to be the newest one."""
+
+from galenaferry.discovery.follower import (
+    MAX_CONFIRMATION_AGE_MS,
+)
+from galenaferry.discovery.messages import TableNotice
+from galenaferry.discovery.news import MAX_NEWS_AGE_MS
+from galenaferry.discovery.tests.builders import at, table_update
+from galenaferry.discovery.tests.test_news import refuse_fetches
+from galenaferry.discovery.tests.test_shared_table import (
+    TWO,
+    deliver_notices,
+    make_non_reader,
+    make_reader,
+)
+
+
+def is_confirmed_after(interval, notice=None):
+    """Return whether a VM without news of the store takes its copy for the newest."""
+    bench = make_non_reader()
+    bench.run_for(interval)
+    if notice is not None:
+        bench.follower.on_notice("10.0.0.1:7000", notice)
+    return bench.follower.is_confirmed
+
+
+def test_a_copy_is_not_taken_for_the_newest_without_news_of_the_store():
+    assert is_confirmed_after(MAX_CONFIRMATION_AGE_MS - 1_500.0)
+    assert not is_confirmed_after(MAX_CONFIRMATION_AGE_MS + 10.0)
+
+
+def test_a_reader_whose_reads_hang_does_not_confirm_the_copies_of_others():
+    waiting = 2.0 * MAX_CONFIRMATION_AGE_MS
+    notice = TableNotice(at(10), at(10), (), confirmed_ago=300.0)
+    assert is_confirmed_after(waiting, notice)
+    assert not is_confirmed_after(waiting, notice._replace(confirmed_ago=waiting))
+    # A VM of an earlier version doesn't tell.
+    assert is_confirmed_after(waiting, notice._replace(confirmed_ago=None))
+
+
+def test_the_age_of_a_confirmation_is_passed_on_with_notices():
+    bench = make_reader()
+    bench.run_for(2_100.0)
+    assert 2_000.0 <= bench.notices[-1].confirmed_ago <= 2_500.0
+
+
+def test_a_vm_that_was_paused_does_not_take_its_copy_for_the_newest():
+    bench = make_non_reader()
+    assert bench.follower.is_confirmed
+    bench.follower.refresh()
+    assert not bench.follower.is_confirmed
+
+
+def test_a_store_that_lags_behind_does_not_confirm_a_newer_copy():
+    bench = make_reader()
+    notice = TableNotice(at(10), at(12), TWO, confirmed_ago=0.0)
+    bench.follower.on_notice("10.0.9.1:7000", notice)
+    bench.run_for(MAX_CONFIRMATION_AGE_MS + 10.0)
+    bench.source.answer(table_update(11))
+    assert not bench.follower.is_confirmed
+    bench.run_for(10.0)
+    bench.source.answer(table_update(12))
+    assert bench.follower.is_confirmed
+
+
+def test_a_version_that_no_vm_has_does_not_keep_a_copy_unconfirmed_for_ever():
+    bench = make_non_reader()
+    bench.follower.on_peer_version("10.0.0.9:7000", at(50))
+    answered = 0
+    while not bench.follower.is_confirmed:
+        deliver_notices(bench, 200.0)
+        answered = refuse_fetches(bench, answered)
+        if bench.follower._is_reading:
+            bench.source.answer(table_update(20))
+        assert bench.clock.now() < 2.0 * MAX_NEWS_AGE_MS
+    deliver_notices(bench, 5_000.0)
+    asked = len(bench.peer_fetches), len(bench.source.calls)
+    deliver_notices(bench, 20_000.0)
+    assert (len(bench.peer_fetches), len(bench.source.calls)) == asked
