--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -25,6 +25,11 @@
         self.address = ("", 0)
         self.runs: Counter[str] = Counter()
         self.answered: dict[str, float] = {}
+        self.bodies: dict[str, bytes] = {}
+        self.is_early = False
+        """Whether it answers before it has read a body, and reads on later."""
+        self.retry_after_s = 0.0
+        """Above 0, the instance turns requests away and names this time."""
         self._slots = asyncio.Semaphore(SLOTS)
         self._waiting = 0
         self._server: asyncio.Server | None = None
@@ -52,12 +57,22 @@
             while True:
                 async with asyncio.timeout(IDLE_S):
                     first, headers = await http.read_head(reader)
-                body = await http.read_body(reader, headers)
-                answer = await self._answer(first, headers, body)
-                writer.write(answer)
+                request = headers.get("galenaferry-request-id", "")
+                if self.is_early:
+                    writer.write(await self._answer(first, headers, b""))
+                    await writer.drain()
+                    self.bodies[request] = await http.read_body(reader, headers)
+                    size = len(self.bodies[request])
+                    self.record.write("body read later", request, self.key, size)
+                    continue
+                body = self.bodies[request] = await http.read_body(reader, headers)
+                writer.write(await self._answer(first, headers, body))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             return
+        except ValueError:
+            # The bytes are no request.
+            writer.write(http.encode("HTTP/1.1 400 Bad Request", {"Connection": "close"}))
         finally:
             writer.close()
 
@@ -72,8 +87,10 @@
         if not request:
             own["Galenaferry-Not-Executed"] = "1"
             return http.encode("HTTP/1.1 400 Bad Request", own)
-        if self._waiting >= QUEUE:
+        if self._waiting >= QUEUE or self.retry_after_s:
             own["Galenaferry-Not-Executed"] = "1"
+            if self.retry_after_s:
+                own["Retry-After"] = f"{self.retry_after_s:g}"
             return http.encode("HTTP/1.1 503 Service Unavailable", own)
         self._waiting += 1
         async with self._slots:
