--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -1,6 +1,7 @@
 """A small deployment: one store, a few instances and VMs, on loopback addresses."""
 
 import os
+import shutil
 import signal
 import sys
 import tempfile
@@ -57,9 +58,10 @@
         return sum(instance.runs[request] for instance in self.instances)
 
     def end(self) -> None:
-        """End the processes that this run started."""
+        """End the processes that this run started, and remove its folder."""
         for vm in self.vms:
             vm.end()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def finish(code: int, text: str) -> None:
