Show for how long a VM has lacked a configuration, and where it got it

- 'configuration in force' names its source and for how long the VM had known of it.
- Gauges configuration.behind_ms, configuration.missed_notices and instances.missed_notices, which the metrics address serves.

No decision uses them.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -65,6 +65,10 @@
 PEER_FETCH_DELAY_MS: Final = 250.0
 """Time in which the VM's own read should return changes that another VM has."""
 
+STORE_SOURCE: Final = "store"
+"""``TableFollower.source`` after a read of this VM; otherwise it is the address of the
+VM whose notice or response had the changes."""
+
 log = logger("discovery")
 
 
@@ -156,6 +160,11 @@
         self._needs_full_read = True
         self._timer: Timer | None = None
         self.version = NO_VERSION
+        # Where the latest update came from.
+        self.source = ""
+        # Time for which this VM had known of the latest update when it was applied.
+        self.was_behind_for: Millis = 0.0
+        self.missed_notices = 0
         # Latest time at which the store is known to have had no newer changes.
         self._confirmed_at: Millis = -math.inf
         # Version of the latest result of this VM's own reads, and the one after which
@@ -189,6 +198,11 @@
         """Whether another VM has lately told of changes that this copy lacks."""
         return self._peers.is_behind
 
+    @property
+    def behind_for(self) -> Millis:
+        """Time for which another VM is known to have changes that this copy lacks."""
+        return self._peers.behind_for
+
     @property
     def is_outage_confirmed(self) -> bool:
         """Whether the store itself seems to be away, and not only a connection to it.
@@ -257,12 +271,16 @@
             # The next read may wait for further changes first.
             wait = PEER_FETCH_DELAY_MS + self._settings.coalescing_delay
             self._loop.after(wait, lambda: self._check_own_read(notice))
+        if self.is_loaded and notice.after > self.version:
+            # The one before it, or it told only of a version.
+            self.missed_notices += 1
         if (
             notice.rows
             and notice.after <= self.version
             and not self._is_new_era(notice.version)
         ):
-            self._apply(TableUpdate(notice.version, notice.rows, is_snapshot=False))
+            update = TableUpdate(notice.version, notice.rows, is_snapshot=False)
+            self._apply(update, address)
             self._on_notice_confirmed(notice)
         elif not self._is_reading:
             self._catch_up()
@@ -383,8 +401,8 @@
             self._is_news_read = True
             self._read()
 
-    def _on_peer_update(self, update: TableUpdate) -> None:
-        has_changed = self._apply(update)
+    def _on_peer_update(self, update: TableUpdate, address: str) -> None:
+        has_changed = self._apply(update, address)
         if update.is_snapshot:
             # The store has the changes after it, or says that it has not.
             self._needs_full_read = False
@@ -454,7 +472,7 @@
                 is_first = not self.is_loaded
                 # The notice starts at ``last_change_version``, which ``_apply`` sets.
                 self._broadcast_update(update)
-                self._apply(update)
+                self._apply(update, STORE_SOURCE)
                 self._is_news_read = False
                 if not self._needs_own_read():
                     # It was read once for news of it.
@@ -472,7 +490,7 @@
         match result:
             case Ok(TableUpdate() as update) if update.version > self.version:
                 self._broadcast_update(update)
-                self._apply(update)
+                self._apply(update, STORE_SOURCE)
             case _:
                 return
 
@@ -514,8 +532,8 @@
         else:
             self._timer = self._loop.after(wait, read)
 
-    def _apply(self, update: TableUpdate) -> bool:
-        """Apply an update; return whether any row changed.
+    def _apply(self, update: TableUpdate, source: str) -> bool:
+        """Apply an update from a source; return whether any row changed.
 
         Changes of a new era need not follow from the rows of the one before, so only
         a snapshot is accepted then.
@@ -539,6 +557,8 @@
             else:
                 self.value_by_key[key] = value
         self._history.record(update, changed)
+        self.source = source
+        self.was_behind_for = self.behind_for
         self.version = update.version
         if changed or is_first or is_new_era:
             self.last_change_version = update.changed_at
--- a/src/galenaferry/discovery/news.py
+++ b/src/galenaferry/discovery/news.py
@@ -9,6 +9,8 @@
 MAX_NEWS_AGE_MS: Final[Millis] = 60_000.0
 """Age from which news that no VM repeats no longer counts: the VM that told it has
 left, or was wrong. Copies still need the store's confirmation."""
+MAX_VERSIONS: Final = 32
+"""Versions whose first news is remembered; of later ones only the newest is."""
 
 V = TypeVar("V", int, StoreVersion)
 
@@ -25,10 +27,19 @@
     def __init__(self, none: V) -> None:
         self._newest: V = none
         self._heard_at: Millis = -math.inf
+        # Versions in ascending order, each with the time at which it was first heard.
+        self._first_heard: list[tuple[V, Millis]] = []
 
     def on_version(self, version: V, now: Millis) -> None:
         """Record that another VM has a version."""
-        if version >= self._newest or self._is_old(now):
+        is_old = self._is_old(now)
+        if is_old:
+            self._first_heard.clear()
+        if version > self._newest or is_old:
+            self._first_heard.append((version, now))
+            # Keeps the oldest ones, which tell for how long a copy is behind.
+            del self._first_heard[MAX_VERSIONS:]
+        if version >= self._newest or is_old:
             self._newest = version
             self._heard_at = now
 
@@ -36,5 +47,16 @@
         """Whether another VM has lately told of a newer version."""
         return self._newest > version and not self._is_old(now)
 
+    def behind_for(self, version: V, now: Millis) -> Millis:
+        """Return how long a version newer than ``version`` is known, 0 if none is.
+
+        Versions up to ``version`` are forgotten.
+        """
+        while self._first_heard and self._first_heard[0][0] <= version:
+            del self._first_heard[0]
+        if not self.is_newer_than(version, now):
+            return 0.0
+        return now - (self._first_heard[0][1] if self._first_heard else self._heard_at)
+
     def _is_old(self, now: Millis) -> bool:
         return now - self._heard_at > MAX_NEWS_AGE_MS
--- a/src/galenaferry/discovery/peer_fetches.py
+++ b/src/galenaferry/discovery/peer_fetches.py
@@ -45,7 +45,7 @@
     version : callable
         Returns the version of this VM's copy.
     on_update : callable
-        Called with an update that is newer than the copy.
+        Called with an update that is newer than the copy and the address of its VM.
     on_failure : callable
         Called when a VM did not answer.
     """
@@ -58,7 +58,7 @@
         is_near: Callable[[str], bool],
         random: Random,
         version: Callable[[], StoreVersion],
-        on_update: Callable[[TableUpdate], None],
+        on_update: Callable[[TableUpdate, str], None],
         on_failure: Callable[[], None],
     ) -> None:
         self._loop = loop
@@ -80,6 +80,11 @@
         """Whether another VM has lately told of changes that the copy lacks."""
         return self._news.is_newer_than(self._version(), self._loop.clock.now())
 
+    @property
+    def behind_for(self) -> Millis:
+        """Time for which another VM is known to have changes that the copy lacks."""
+        return self._news.behind_for(self._version(), self._loop.clock.now())
+
     def on_version(self, address: str, version: StoreVersion) -> None:
         """Record that the VM at ``address`` has a version of the table."""
         self._news.on_version(version, self._loop.clock.now())
@@ -136,7 +141,7 @@
             version=update.version,
             had=self._version(),
         )
-        self._on_update(update)
+        self._on_update(update, address)
         # Changes that came while this fetch was under way.
         self.fetch()
 
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -351,6 +351,11 @@
         gauges = Gauges(
             configuration_version=lambda: self.routes.version,
             configuration_behind=lambda: float(self.tables.is_configuration_behind),
+            configuration_behind_ms=lambda: self.tables.configuration_behind_for,
+            configuration_missed_notices=(
+                lambda: self.tables.configuration.missed_notices
+            ),
+            instances_missed_notices=lambda: self.tables.instances.missed_notices,
             instances_version=lambda: self.tables.instances.version.counter,
             is_store_away=lambda: float(self.tables.instances.is_store_unavailable),
             live_members=lambda: len(self.table.live(now())),
--- a/src/galenaferry/node/configuration.py
+++ b/src/galenaferry/node/configuration.py
@@ -52,13 +52,19 @@
         rows = () if self._row_in_force is None else (self._row_in_force,)
         return TableUpdate(NO_VERSION, rows, is_snapshot=True)
 
-    def on_change(self, rows: tuple[TableRow, ...]) -> None:
-        """Apply a newer configuration; otherwise keep the last valid one."""
+    def on_change(
+        self, rows: tuple[TableRow, ...], source: str = "", behind_for: Millis = 0.0
+    ) -> None:
+        """Apply a newer configuration; otherwise keep the last valid one.
+
+        ``source`` is where the rows came from, and ``behind_for`` the time in
+        milliseconds for which this VM had known that it lacks them; both are logged.
+        """
         for row in rows:
             if row.key == self._adapter.tables.configuration_key:
-                self._apply_row(row)
+                self._apply_row(row, source, behind_for)
 
-    def _apply_row(self, row: TableRow) -> None:
+    def _apply_row(self, row: TableRow, source: str, behind_for: Millis) -> None:
         if row.value is None:
             log.warning(
                 "the configuration was removed from the store; keeping the one in force"
@@ -81,6 +87,8 @@
                 version=document.version,
                 before=before,
                 routes=len(document.routes),
+                source=source,
+                behind_ms=int(behind_for),
             )
         elif document.version < before:
             log.warning(
@@ -100,7 +108,8 @@
     version_in_force : callable
         Returns the version in force on this VM, 0 if there is none.
     on_rows : callable
-        Called with the row of the configuration.
+        Called with the row of the configuration, the address of the VM that sent it
+        and the time for which it was known to have it, in milliseconds.
     is_table_behind : callable
         Whether this VM's copy of the table lacks changes, which it fetches anyway.
     """
@@ -110,7 +119,7 @@
         loop: Loop,
         fetch_from_peer: FetchFromPeer,
         version_in_force: Callable[[], int],
-        on_rows: Callable[[tuple[TableRow, ...]], None],
+        on_rows: Callable[[tuple[TableRow, ...], str, Millis], None],
         is_table_behind: Callable[[], bool],
     ) -> None:
         self._is_table_behind = is_table_behind
@@ -127,6 +136,11 @@
         now = self._loop.clock.now()
         return self._news.is_newer_than(self._version_in_force(), now)
 
+    @property
+    def behind_for(self) -> Millis:
+        """Time for which another VM is known to have a newer version in force."""
+        return self._news.behind_for(self._version_in_force(), self._loop.clock.now())
+
     def on_peer_version(self, address: str, version: int) -> None:
         """Handle the version that the VM at ``address`` has in force."""
         self._news.on_version(version, self._loop.clock.now())
@@ -157,4 +171,4 @@
                 error=result.err_value.text,
             )
             return
-        self._on_rows(result.ok_value.rows)
+        self._on_rows(result.ok_value.rows, address, self.behind_for)
--- a/src/galenaferry/node/metrics.py
+++ b/src/galenaferry/node/metrics.py
@@ -33,6 +33,9 @@
 
     configuration_version: Callable[[], float]
     configuration_behind: Callable[[], float]
+    configuration_behind_ms: Callable[[], float]
+    configuration_missed_notices: Callable[[], float]
+    instances_missed_notices: Callable[[], float]
     instances_version: Callable[[], float]
     is_store_away: Callable[[], float]
     live_members: Callable[[], float]
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -5,6 +5,7 @@
 from typing import Any, Final, NamedTuple
 
 from ..backends.messages import Instance
+from ..clock import Millis
 from ..discovery.follower import FollowerSettings, TableFollower
 from ..discovery.messages import (
     StoreVersion,
@@ -104,7 +105,7 @@
             adapter.store,
             self._fetch_from_peer,
             random,
-            self._on_configuration_rows,
+            self._on_configuration_change,
             fleet.is_designated_reader,
             fleet.send_notice,
             listeners.on_restored,
@@ -156,6 +157,11 @@
         """Whether this VM knows of a configuration that it has not got yet."""
         return self.configuration.is_behind or self._peer_configurations.is_behind
 
+    @property
+    def configuration_behind_for(self) -> Millis:
+        """Time for which this VM has known of a configuration that it has not got."""
+        return max(self.configuration.behind_for, self._peer_configurations.behind_for)
+
     @property
     def is_configuration_current(self) -> bool:
         """Whether this VM is sure that its configuration is the newest one."""
@@ -208,8 +214,14 @@
         """Return the state of the instances' table as JSON data."""
         return _dump(self.instances)
 
-    def _on_configuration_rows(self, rows: tuple[TableRow, ...]) -> None:
-        self._configuration_updater.on_change(rows)
+    def _on_configuration_change(self, rows: tuple[TableRow, ...]) -> None:
+        table = self.configuration
+        self._on_configuration_rows(rows, table.source, table.was_behind_for)
+
+    def _on_configuration_rows(
+        self, rows: tuple[TableRow, ...], source: str, behind_for: Millis
+    ) -> None:
+        self._configuration_updater.on_change(rows, source, behind_for)
         self._listeners.on_configuration()
 
     def _instances_availability(self) -> StoreAvailability:
