--- a/src/galenaferry/node/tests/configuration_fleet.py
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -1,11 +1,12 @@
 """VMs that follow the configuration over slow links, on a fake clock.
 
-The VMs use the real client of the store and the real transfer between VMs. Heartbeats
-and notices are calls with a delay.
+The VMs use the real client of the store, the real transfer between VMs and the real
+datagrams, which a link drops while its queue is full.
 """
 
 import base64
 import json
+import math
 from random import Random
 from urllib.parse import parse_qs, urlsplit
 
@@ -18,6 +19,9 @@
 from galenaferry.network.loop import Loop
 from galenaferry.node.tables import FleetAccess, TableListeners, Tables
 from galenaferry.node.tests.simulated_network import STEP_MS, Link, Network
+from galenaferry.peers import component as peers_module
+from galenaferry.peers.codec import PeerKeys
+from galenaferry.peers.component import PeersComponent
 from galenaferry.platform.__main__ import make_adapter
 from galenaferry.platform.settings import parse_node_file
 from galenaferry.platform.tests.builders import NODE_FILE, configuration_json
@@ -29,6 +33,9 @@
 HEARTBEAT_FANOUT = 2
 STORE_ADDRESS = ("10.200.1.7", 8384)
 STORE_BYTES_PER_MS = 500_000.0
+LINK_QUEUE_BYTES = 16_384
+"""What the link of a small VM queues before it drops datagrams."""
+PEER_KEYS = PeerKeys(b"key of the fleet")
 
 
 def make_configuration(version, route_count, random):
@@ -134,14 +141,26 @@
 class HostLoop:
     """The loop of the fleet, which also tells whose connections are made on it."""
 
-    def __init__(self, loop, host):
-        self._loop = loop
+    def __init__(self, fleet, host):
+        self._loop = fleet.loop
+        self.fleet = fleet
         self.host = host
 
     def __getattr__(self, name):
         return getattr(self._loop, name)
 
 
+class FakeDatagramSocket:
+    """Socket whose datagrams go over the link of the host of its loop."""
+
+    def __init__(self, loop, address, on_datagram):
+        self._loop = loop
+        loop.fleet.socket_by_address[address] = on_datagram
+
+    def send(self, data, address):
+        self._loop.fleet.deliver(self._loop.host, data, address)
+
+
 class FollowingVm:
     """The tables of one VM."""
 
@@ -156,7 +175,10 @@
         )
         self.applied_at = {}
         self.is_stopped = False
-        loop = HostLoop(fleet.loop, self.host)
+        loop = HostLoop(fleet, self.host)
+        self.peers = PeersComponent(
+            loop, (self.host, 7200), PEER_KEYS, lambda: self.member, self
+        )
         self.tables = Tables(
             loop,
             make_adapter(settings, loop),
@@ -185,14 +207,23 @@
     def _send_notice(self, notice):
         if self.is_stopped:
             return
-        for vm in self.fleet.vms:
-            is_near = vm.member.zone == self.member.zone
-            if vm is not self and (is_near or vm in self.fleet.hubs):
-                self.fleet.deliver(lambda vm=vm: vm.on_notice(self, notice))
+        addresses = [
+            vm.address
+            for vm in self.fleet.vms
+            if vm is not self
+            and (vm.member.zone == self.member.zone or vm in self.fleet.hubs)
+        ]
+        self.peers.send_to_all(addresses, notice)
 
     def on_notice(self, sender, notice):
         self.tables.on_notice(sender.address, notice)
 
+    def on_table_notice(self, sender, notice):
+        self.on_notice(sender, notice)
+
+    def on_heartbeat(self, sender, heartbeat):
+        self.tables.on_heartbeat(sender.address, heartbeat)
+
     def send_heartbeats(self):
         if self.is_stopped:
             return
@@ -207,10 +238,8 @@
             self.routes.version,
         )
         others = [vm for vm in self.fleet.vms if vm is not self]
-        for vm in self.fleet.random.sample(others, HEARTBEAT_FANOUT):
-            self.fleet.deliver(
-                lambda vm=vm: vm.tables.on_heartbeat(self.address, heartbeat)
-            )
+        receivers = self.fleet.random.sample(others, HEARTBEAT_FANOUT)
+        self.peers.send_to_all([vm.address for vm in receivers], heartbeat)
 
     def _on_configuration(self):
         self.applied_at.setdefault(self.routes.version, self.fleet.clock.now())
@@ -219,10 +248,20 @@
 class ConfigurationFleet:
     """VMs of some zones with links of ``link_mbps``; the calls of the test are steps.
 
-    ``loss`` is the share of the messages between VMs that are lost.
+    ``loss`` is the share of the datagrams between VMs that are lost, beside those that
+    a link drops because it queues ``queue_bytes`` already.
     """
 
-    def __init__(self, monkeypatch, vms=24, zones=2, link_mbps=5.0, loss=0.0, seed=1):
+    def __init__(
+        self,
+        monkeypatch,
+        vms=24,
+        zones=2,
+        link_mbps=5.0,
+        loss=0.0,
+        seed=1,
+        queue_bytes=math.inf,
+    ):
         self.random = Random(seed)
         self.clock = FakeClock(100_000.0)
         self.loop = Loop(self.clock)
@@ -230,12 +269,14 @@
         self.network = Network(self.loop, self.random)
         self.store = FakeStore(self.loop)
         self.network.link_by_host[STORE_ADDRESS[0]] = Link(STORE_BYTES_PER_MS)
+        self.socket_by_address = {}
         monkeypatch.setattr(fetch_module, "connect", self._connect)
+        monkeypatch.setattr(peers_module, "DatagramSocket", FakeDatagramSocket)
         self.vms = []
         for number in range(vms):
             vm = FollowingVm(self, number, f"zone-{number % zones}")
             self.vms.append(vm)
-            self.network.link_by_host[vm.host] = Link(link_mbps * 125.0)
+            self.network.link_by_host[vm.host] = Link(link_mbps * 125.0, queue_bytes)
             self.network.server_by_address[vm.host, 7200] = vm.respond
         self.hubs = [
             vm
@@ -258,9 +299,23 @@
             server = self.store.server_for(loop.host)
         return self.network.connect(loop.host, address[0], server, owner)
 
-    def deliver(self, call):
-        if self.random.random() >= self.loss:
-            self.loop.after(MESSAGE_DELAY_MS, call)
+    def deliver(self, host, data, address):
+        """Send a datagram over the link of a host."""
+        now = self.clock.now()
+        sent_at = self.network.link_by_host[host].queue_datagram(len(data), now)
+        if sent_at is None or self.random.random() < self.loss:
+            return
+        sender = (host, address[1])
+        self.loop.after(
+            sent_at - now + MESSAGE_DELAY_MS,
+            lambda: self.socket_by_address[address](data, sender),
+        )
+
+    def datagrams_dropped(self):
+        """Return how many datagrams the VMs' own links dropped."""
+        return sum(
+            self.network.link_by_host[vm.host].datagrams_dropped for vm in self.vms
+        )
 
     def _schedule_heartbeats(self, vm):
         def send():
@@ -320,6 +375,10 @@
                 }
         return rejecting
 
+    def older_than(self, version):
+        """Return the VMs on which an older version is in force."""
+        return [vm.host for vm in self.vms if vm.routes.version < version]
+
     def late(self, version, acked_at, bound):
         """Return the VMs that did not apply a version within ``bound`` ms."""
         return [
--- a/src/galenaferry/node/tests/simulated_network.py
+++ b/src/galenaferry/node/tests/simulated_network.py
@@ -4,6 +4,7 @@
 request, or hangs for as long as the function returns None.
 """
 
+import math
 from typing import NamedTuple
 
 from galenaferry.framing.requests import RequestLimits, RequestReader
@@ -24,10 +25,22 @@
 class Link:
     """Link of one machine, with the same rate in each direction."""
 
-    def __init__(self, bytes_per_ms):
+    def __init__(self, bytes_per_ms, queue_bytes=math.inf):
         self.bytes_per_ms = bytes_per_ms
         self.bytes_received = 0
         self.transfers = []
+        self.datagrams_dropped = 0
+        self._queue_bytes = queue_bytes
+        self._datagrams_sent_at = -math.inf
+
+    def queue_datagram(self, size, now):
+        """Return when the link has sent a datagram, None if its queue is full."""
+        starts_at = max(now, self._datagrams_sent_at)
+        if (starts_at - now) * self.bytes_per_ms + size > self._queue_bytes:
+            self.datagrams_dropped += 1
+            return None
+        self._datagrams_sent_at = starts_at + size / self.bytes_per_ms
+        return self._datagrams_sent_at
 
 
 class Connection:
