Pace datagrams to the link, so that it does not drop notices of a change

Callers saw requests handled by a configuration that had been replaced more than 2.5 s before (CONFIG at front-kharkhorin-21: version 11, with 13 acknowledged 2.8 and 3.3 s before).

Cause: a reader sends a change to each VM of its zone in one burst of datagrams. Class: a burst to many receivers that takes the link's queue for endless; every message to a whole zone is one (notices of instances, outcomes).

Evidence: the zones whose readers are on 200 Mbit/s have the change on all VMs within 10 ms, no send fails at the socket, and the VMs that lack it log no failed fetch before the bulk change. Ruled out: busy processors (at most a fifth used in the record).

The bandwidth comes from the node file; without it nothing changes.

The test fleet's VMs now know the bandwidth of their links.

--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -113,7 +113,12 @@
         )
         self.table.add_unconfirmed(seed_members(settings), loop.clock.now())
         self.peers = PeersComponent(
-            loop, settings.peers, PeerKeys(peer_key), lambda: self.table.me, self
+            loop,
+            settings.peers,
+            PeerKeys(peer_key),
+            lambda: self.table.me,
+            self,
+            settings.link_rate,
         ).register(self)
         self._broadcasts = Broadcasts(loop, self.table, self.peers, random)
         self.placement = Placement(
@@ -361,6 +366,7 @@
             live_members=lambda: len(self.table.live(now())),
             requests_in_flight=lambda: self.requests.in_flight,
             datagrams_sent=lambda: self.peers.dump()["datagrams_sent"],
+            datagrams_dropped=lambda: self.peers.dump()["datagrams_dropped"],
             instances_limited=lambda: self.placement.limited_count,
             instances_unreachable=lambda: self.placement.unreachable_count,
             requests_blocked=lambda: len(self.crashes.guard.blocked),
--- a/src/galenaferry/node/metrics.py
+++ b/src/galenaferry/node/metrics.py
@@ -41,6 +41,7 @@
     live_members: Callable[[], float]
     requests_in_flight: Callable[[], float]
     datagrams_sent: Callable[[], float]
+    datagrams_dropped: Callable[[], float]
     instances_limited: Callable[[], float]
     instances_unreachable: Callable[[], float]
     is_cut_off: Callable[[], float]
--- a/src/galenaferry/node/settings.py
+++ b/src/galenaferry/node/settings.py
@@ -22,6 +22,8 @@
     instances without recent failures that always stays eligible for requests.
     ``budget`` limits the retries of the whole fleet.
     ``is_first_start`` is set if the fleet as a whole has never run before.
+    ``link_rate`` is the bandwidth of the VM's link in bytes per millisecond, 0 if it is
+    not known.
     """
 
     name: str
@@ -38,3 +40,4 @@
     budget: BudgetBounds
     is_first_start: bool = False
     relay: Address | None = None
+    link_rate: float = 0.0
--- a/src/galenaferry/node/tests/configuration_fleet.py
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -177,7 +177,12 @@
         self.is_stopped = False
         loop = HostLoop(fleet, self.host)
         self.peers = PeersComponent(
-            loop, (self.host, 7200), PEER_KEYS, lambda: self.member, self
+            loop,
+            (self.host, 7200),
+            PEER_KEYS,
+            lambda: self.member,
+            self,
+            fleet.nominal_mbps * 125.0,
         )
         self.tables = Tables(
             loop,
@@ -249,7 +254,8 @@
     """VMs of some zones with links of ``link_mbps``; the calls of the test are steps.
 
     ``loss`` is the share of the datagrams between VMs that are lost, beside those that
-    a link drops because it queues ``queue_bytes`` already.
+    a link drops because it queues ``queue_bytes`` already. ``nominal_mbps`` is the
+    bandwidth of the links, of which callers leave ``link_mbps``.
     """
 
     def __init__(
@@ -261,7 +267,9 @@
         loss=0.0,
         seed=1,
         queue_bytes=math.inf,
+        nominal_mbps=None,
     ):
+        self.nominal_mbps = nominal_mbps or link_mbps
         self.random = Random(seed)
         self.clock = FakeClock(100_000.0)
         self.loop = Loop(self.clock)
--- a/src/galenaferry/node/tests/test_notices_on_slow_links.py
+++ b/src/galenaferry/node/tests/test_notices_on_slow_links.py
@@ -9,7 +9,7 @@
 from galenaferry.node.tests.test_configuration_fleet import APPLY_MS, ROUTES_IN_BULK
 
 
-def make_large_fleet(monkeypatch, link_mbps, seed):
+def make_large_fleet(monkeypatch, link_mbps, seed, nominal_mbps=None):
     """Return 90 VMs in four zones, all with a small configuration."""
     fleet = ConfigurationFleet(
         monkeypatch,
@@ -18,6 +18,7 @@
         link_mbps=link_mbps,
         seed=seed,
         queue_bytes=LINK_QUEUE_BYTES,
+        nominal_mbps=nominal_mbps,
     )
     fleet.change(2, 20)
     fleet.run(5_000.0)
@@ -40,7 +41,7 @@
     monkeypatch, link_mbps, gap
 ):
     # What the traffic of callers leaves of links of 5 Mbit/s.
-    fleet = make_large_fleet(monkeypatch, link_mbps, seed=1)
+    fleet = make_large_fleet(monkeypatch, link_mbps, seed=1, nominal_mbps=5.0)
     acked_at = fleet.change(5, 21)
     fleet.run(gap)
     fleet.change(8, ROUTES_IN_BULK)
--- a/src/galenaferry/peers/component.py
+++ b/src/galenaferry/peers/component.py
@@ -14,6 +14,7 @@
 from ..network.loop import Loop
 from ..spreading.messages import GossipMessage, Page, PagePull, Pull, Push
 from .codec import Datagram, Message, PeerKeys, decode, encode
+from .pacing import DatagramPacer, Priority
 
 log = logger("peers")
 
@@ -58,6 +59,8 @@
     own_member : callable
         Returns this VM's current membership entry.
     message_handler : PeerMessageHandler
+    link_rate : float
+        Bandwidth of this VM's link in bytes per millisecond, 0 if it is not known.
     """
 
     channel = "peers"
@@ -69,12 +72,14 @@
         keys: PeerKeys,
         own_member: Callable[[], Member],
         message_handler: PeerMessageHandler,
+        link_rate: float = 0.0,
     ) -> None:
         super().__init__()
         self._keys = keys
         self._own_member = own_member
         self._message_handler = message_handler
         self._socket = DatagramSocket(loop, address, self._on_datagram)
+        self._pacer = DatagramPacer(loop, self._socket.send, link_rate)
         self._sent = 0
         self._bytes_sent = 0
         self._received = 0
@@ -90,11 +95,13 @@
         if not addresses:
             return
         data = encode(Datagram(self._own_member(), message), self._keys)
+        is_news = isinstance(message, TableNotice)
+        priority = Priority.TABLE_NEWS if is_news else Priority.OTHER
         for address in addresses:
             host, _, port = address.rpartition(":")
             self._sent += 1
             self._bytes_sent += len(data)
-            self._socket.send(data, (host, int(port)))
+            self._pacer.send(data, (host, int(port)), priority)
 
     def dump(self) -> dict[str, Any]:
         """Return the counters as JSON data."""
@@ -104,6 +111,7 @@
             "datagrams_received": self._received,
             "bytes_received": self._bytes_received,
             "datagrams_refused": self._refused,
+            "datagrams_dropped": self._pacer.dropped_count,
         }
 
     def _on_datagram(self, data: bytes, address: Address) -> None:
--- a/src/galenaferry/platform/settings.py
+++ b/src/galenaferry/platform/settings.py
@@ -1,8 +1,9 @@
 """Parsing of the node file, which holds a VM's settings in the platform's format."""
 
+import math
 import tomllib
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any, Final, TypeVar
 
 from result import Err, Ok, Result
 
@@ -11,6 +12,8 @@
 from ..ini import parse_address
 from ..node.settings import Address, NodeSettings
 
+BYTES_PER_MS_OF_MBPS: Final = 125.0
+
 T = TypeVar("T")
 
 
@@ -62,6 +65,7 @@
     fields = _Fields(file, data, "", findings)
     listen = fields.table("listen")
     platform = fields.table("platform")
+    limits = _Fields(file, data.get("limits", {}), "limits", findings)
     bounds = _Fields(file, _parse_bounds(fields), "bounds", findings)
     ports = fields.read("internalPortRange", _parse_port_range, (0, 0))
     ip = fields.read("ip", _parse_string, "127.0.0.1")
@@ -90,6 +94,8 @@
             window=bounds.read("budgetWindowS", _parse_number, 0.0) * 1000.0,
         ),
         relay=(ip, ports[0] + 1) if ports[1] > ports[0] else None,
+        link_rate=BYTES_PER_MS_OF_MBPS
+        * limits.read_optional("linkMbps", _parse_number, 0.0),
         is_first_start=fields.read_optional("bootstrap", _parse_bool, False),
     )
     return Err(findings) if findings else Ok(settings)
@@ -142,6 +148,8 @@
         number = float(value)
     except (TypeError, ValueError):
         raise ValueError(f"{value!r} is not a number") from None
+    if not math.isfinite(number):
+        raise ValueError(f"{value!r} is not a finite number")
     if number < 0.0:
         raise ValueError(f"{value!r} is negative")
     return number
--- a/src/galenaferry/platform/tests/test_settings.py
+++ b/src/galenaferry/platform/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Parsing of valid and invalid node files."""
 
+import pytest
+
 from galenaferry.findings import format_findings
 from galenaferry.platform.settings import parse_node_file
 from galenaferry.platform.tests.builders import NODE_FILE
@@ -36,3 +38,16 @@
 
 def test_invalid_toml_is_one_finding():
     assert len(parse_node_file("local.toml", "= 3").unwrap_err()) == 1
+
+
+def test_the_bandwidth_of_the_link_is_read_where_it_is_given():
+    assert parse_node_file("local.toml", NODE_FILE).unwrap().link_rate == 0.0
+    text = NODE_FILE + "\n[limits]\nlinkMbps = 10.0\n"
+    assert parse_node_file("local.toml", text).unwrap().link_rate == 1_250.0
+
+
+@pytest.mark.parametrize("value", ["-1", "nan", "inf", '"fast"', "[]"])
+def test_a_bandwidth_that_is_no_number_is_a_finding_with_its_place(value):
+    text = NODE_FILE + f"\n[limits]\nlinkMbps = {value}\n"
+    findings = parse_node_file("local.toml", text).unwrap_err()
+    assert [(f.section, f.key) for f in findings] == [("limits", "linkMbps")]
