Let the VMs with the fastest links of a zone read its tables

Callers of 1,360 added routes would have been turned away, or sent by the routes before, by VMs that got a large change only shortly before its bound of 2.5 s.

Cause: the two readers of a zone were chosen by a hash alone. On links of 10 Mbit/s each reads 374 kB and sends 48 kB to each of some 25 VMs: over a second beside the callers' traffic, and the fetches that wait longest are given up after 1 s without a byte and start again elsewhere. Class: work for a whole zone is given to VMs without regard to what they can carry. The hubs of outcomes were chosen in the same way and follow.

Change: VMs tell each other the class of their link (powers of two); the fastest ones read, the hash decides among equals. Beside VMs of an earlier version, which tell no class, those that the hash alone selects read as well.

A zone of slow links only is not helped by this.

--- a/src/galenaferry/discovery/readers.py
+++ b/src/galenaferry/discovery/readers.py
@@ -2,12 +2,13 @@
 
 The store counts calls: a table that changes a hundred times costs a hundred calls
 for each VM that long-polls it. Therefore only a few VMs of each zone, the readers, read
-it and broadcast its changes in their zone. They are selected by rendezvous hashing.
-While VMs disagree on which members are live, a few more of them read.
+it and broadcast its changes in their zone. They are the VMs with the fastest links,
+since each sends a change to all VMs of its zone; among equal ones a hash decides. While
+VMs disagree on which members are live, a few more of them read.
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import lru_cache
 from typing import Final
 
@@ -17,6 +18,7 @@
 from ..membership.messages import Member
 
 MAX_RANKED_VMS: Final = 8_192
+MAX_LINK_CLASS: Final = 255
 READERS_PER_ZONE: Final = 2
 MIN_READERS: Final = 6
 """Smallest number of readers in a region, for regions with few zones. When a third of
@@ -43,16 +45,46 @@
         store fail are skipped.
     """
     zones = {me.zone}
-    better_ranked = 0
-    own_rank = rank_of(me.address)
+    others = []
     for member in live:
         zones.add(member.zone)
-        if member.address == me.address or member.is_platform_down:
-            continue
-        if member.zone == me.zone and rank_of(member.address) < own_rank:
-            better_ranked += 1
+        if member.zone == me.zone and member.address != me.address:
+            others.append(member)
     count = max(READERS_PER_ZONE, math.ceil(MIN_READERS / len(zones)))
-    return better_ranked < count
+    able = [member for member in others if not member.is_platform_down]
+    if _is_among_first(me, able, count, reader_order):
+        return True
+    # VMs of an earlier version expect notices from those that only the hash selects.
+    has_earlier_version = any(not member.link_class for member in others)
+    return has_earlier_version and _is_among_first(me, able, count, _hash_order)
+
+
+def reader_order(member: Member) -> tuple[int, int]:
+    """Return the sort key by which the readers are the first VMs of a zone."""
+    return -member.link_class, rank_of(member.address)
+
+
+def link_class_of(link_rate: float) -> int:
+    """Return the class of a link, 0 if its bandwidth is not known.
+
+    Links of one class differ by less than a factor of two. ``link_rate`` is in bytes
+    per millisecond.
+    """
+    return min(MAX_LINK_CLASS, int(link_rate).bit_length())
+
+
+def _is_among_first(
+    me: Member,
+    others: list[Member],
+    count: int,
+    order: Callable[[Member], tuple[int, int]],
+) -> bool:
+    own = order(me)
+    return sum(order(member) < own for member in others) < count
+
+
+def _hash_order(member: Member) -> tuple[int, int]:
+    return 0, rank_of(member.address)
 
 
 def needs_own_read(
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -17,6 +17,7 @@
     READER_TIMEOUT_MS,
     READERS_PER_ZONE,
     is_reader,
+    link_class_of,
 )
 from galenaferry.discovery.tests.builders import FollowerBench, at, table_update
 from galenaferry.membership.messages import Member
@@ -28,8 +29,20 @@
 ZONES = ("north", "middle", "south", "east", "west")
 
 
-def member(number, zone="north", is_down=False):
-    return Member(f"10.0.0.{number}:7000", 1, 1, zone, "r", False, 1, is_down)
+def member(number, zone="north", is_down=False, link_class=0):
+    return Member(
+        f"10.0.0.{number}:7000",
+        1,
+        1,
+        zone,
+        "r",
+        False,
+        1,
+        is_down,
+        0,
+        False,
+        link_class,
+    )
 
 
 def make_non_reader(**settings):
@@ -68,6 +81,44 @@
     }
 
 
+def test_the_vms_with_the_fastest_links_of_each_zone_are_readers():
+    fleet = make_fleet(90, 3)
+    fleet = [
+        one._replace(link_class=8 if number < 6 else 4)
+        for number, one in enumerate(fleet)
+    ]
+    assert readers_of(fleet) == fleet[:6]
+
+
+def test_vms_with_slower_links_read_where_the_faster_ones_cannot():
+    fleet = [
+        one._replace(link_class=8 if number < 6 else 4, is_platform_down=number < 3)
+        for number, one in enumerate(make_fleet(90, 3))
+    ]
+    able = [one for one in readers_of(fleet) if not one.is_platform_down]
+    assert len(able) == 6
+    assert set(fleet[3:6]) <= set(able)
+
+
+def test_the_vms_that_an_earlier_version_takes_for_readers_read():
+    fleet = make_fleet(90, 3)
+    expected = {one.address for one in readers_of(fleet)}
+    upgraded = [
+        one._replace(link_class=8 if number < 6 else 4) if number % 2 else one
+        for number, one in enumerate(fleet)
+    ]
+    readers = {one.address for one in readers_of(upgraded)}
+    assert expected <= readers
+    assert {one.address for one in upgraded if one.link_class == 8} <= readers
+
+
+def test_links_of_one_class_differ_by_less_than_a_factor_of_two():
+    assert link_class_of(0.0) == 0
+    assert link_class_of(1_250.0) == link_class_of(1_500.0)
+    assert link_class_of(1_250.0) < link_class_of(2_500.0)
+    assert link_class_of(1e300) == 255
+
+
 def test_readers_with_failing_reads_are_replaced():
     fleet = make_fleet(90, 5)
     down = {one.address for one in readers_of(fleet)}
--- a/src/galenaferry/membership/messages.py
+++ b/src/galenaferry/membership/messages.py
@@ -28,6 +28,9 @@
         Port at which the VM takes requests of other VMs, 0 if it takes none.
     is_cut_off : bool
         Whether the VM reaches no instance of a backend server.
+    link_class : int
+        Class of the VM's link; higher ones are faster, 0 is unknown, as for VMs of an
+        earlier version.
     """
 
     address: str
@@ -40,6 +43,7 @@
     is_platform_down: bool = False
     relay_port: int = 0
     is_cut_off: bool = False
+    link_class: int = 0
 
 
 class Freshness(NamedTuple):
--- a/src/galenaferry/node/broadcasts.py
+++ b/src/galenaferry/node/broadcasts.py
@@ -14,7 +14,7 @@
 from ..clock import Millis
 from ..crashes.messages import CrashNote
 from ..discovery.messages import TableNotice
-from ..discovery.readers import rank_of
+from ..discovery.readers import reader_order
 from ..health.messages import InstanceOutcome, Outcomes
 from ..membership.messages import Member
 from ..membership.state import MemberTable
@@ -123,13 +123,13 @@
         if now >= self._hubs_expire_at:
             self._hubs_expire_at = now + HUBS_CACHE_MS
             me = self._members.me
-            by_zone: dict[str, list[str]] = {}
+            by_zone: dict[str, list[Member]] = {}
             for member in [*self._members.recipients(now), me]:
-                by_zone.setdefault(member.zone, []).append(member.address)
+                by_zone.setdefault(member.zone, []).append(member)
             self._hubs = tuple(
-                address
-                for addresses in by_zone.values()
-                for address in sorted(addresses, key=rank_of)[:HUBS_PER_ZONE]
+                member.address
+                for members in by_zone.values()
+                for member in sorted(members, key=reader_order)[:HUBS_PER_ZONE]
             )
         return self._hubs
 
--- a/src/galenaferry/node/own_members.py
+++ b/src/galenaferry/node/own_members.py
@@ -1,6 +1,7 @@
 """Membership entries that follow from the settings of a VM."""
 
 from ..clock import Millis
+from ..discovery.readers import link_class_of
 from ..membership.messages import Member
 from .settings import NodeSettings
 
@@ -17,6 +18,7 @@
         False,
         0,
         relay_port=settings.relay[1] if settings.relay is not None else 0,
+        link_class=link_class_of(settings.link_rate),
     )
 
 
--- a/src/galenaferry/node/tests/configuration_fleet.py
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -11,7 +11,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from galenaferry.clock import FakeClock
-from galenaferry.discovery.readers import is_reader, rank_of
+from galenaferry.discovery.readers import is_reader, link_class_of, reader_order
 from galenaferry.framing.messages import RequestHead
 from galenaferry.membership.messages import Freshness, Heartbeat, Member
 from galenaferry.network import fetch as fetch_module
@@ -33,6 +33,7 @@
 HEARTBEAT_FANOUT = 2
 STORE_ADDRESS = ("10.200.1.7", 8384)
 STORE_BYTES_PER_MS = 500_000.0
+FAST_MBPS = 200.0
 LINK_QUEUE_BYTES = 16_384
 """What the link of a small VM queues before it drops datagrams."""
 PEER_KEYS = PeerKeys(b"key of the fleet")
@@ -164,11 +165,22 @@
 class FollowingVm:
     """The tables of one VM."""
 
-    def __init__(self, fleet, number, zone):
+    def __init__(self, fleet, number, zone, is_fast=False):
         self.fleet = fleet
+        self.is_fast = is_fast
+        link_rate = 125.0 * (FAST_MBPS if is_fast else fleet.nominal_mbps)
         self.host = f"10.0.{number}.1"
         self.address = f"{self.host}:7200"
-        self.member = Member(self.address, 1, 1, zone, "r", False, 0)
+        self.member = Member(
+            self.address,
+            1,
+            1,
+            zone,
+            "r",
+            False,
+            0,
+            link_class=link_class_of(link_rate),
+        )
         settings = parse_node_file("local.toml", NODE_FILE).unwrap()
         self.routes = HostRouteTable(
             20, Random(number), lambda: self.tables.is_configuration_current
@@ -182,7 +194,7 @@
             PEER_KEYS,
             lambda: self.member,
             self,
-            fleet.nominal_mbps * 125.0,
+            link_rate,
         )
         self.tables = Tables(
             loop,
@@ -255,7 +267,8 @@
 
     ``loss`` is the share of the datagrams between VMs that are lost, beside those that
     a link drops because it queues ``queue_bytes`` already. ``nominal_mbps`` is the
-    bandwidth of the links, of which callers leave ``link_mbps``.
+    bandwidth of the links, of which callers leave ``link_mbps``. The last
+    ``fast_per_zone`` VMs of each zone have links of ``FAST_MBPS``.
     """
 
     def __init__(
@@ -268,6 +281,7 @@
         seed=1,
         queue_bytes=math.inf,
         nominal_mbps=None,
+        fast_per_zone=0,
     ):
         self.nominal_mbps = nominal_mbps or link_mbps
         self.random = Random(seed)
@@ -282,14 +296,18 @@
         monkeypatch.setattr(peers_module, "DatagramSocket", FakeDatagramSocket)
         self.vms = []
         for number in range(vms):
-            vm = FollowingVm(self, number, f"zone-{number % zones}")
+            is_fast = number >= vms - zones * fast_per_zone
+            vm = FollowingVm(self, number, f"zone-{number % zones}", is_fast)
             self.vms.append(vm)
-            self.network.link_by_host[vm.host] = Link(link_mbps * 125.0, queue_bytes)
+            left = FAST_MBPS if vm.is_fast else link_mbps
+            self.network.link_by_host[vm.host] = Link(left * 125.0, queue_bytes)
             self.network.server_by_address[vm.host, 7200] = vm.respond
         self.hubs = [
             vm
             for zone in {vm.member.zone for vm in self.vms}
-            for vm in sorted(self.in_zone(zone), key=lambda vm: rank_of(vm.address))[:2]
+            for vm in sorted(
+                self.in_zone(zone), key=lambda vm: reader_order(vm.member)
+            )[:2]
         ]
         for vm in self.vms:
             vm.tables.begin()
@@ -336,7 +354,7 @@
         """Replace a VM by one that has nothing; return the new one."""
         vm.is_stopped = True
         number = self.vms.index(vm)
-        started = FollowingVm(self, number, vm.member.zone)
+        started = FollowingVm(self, number, vm.member.zone, vm.is_fast)
         self.vms[number] = started
         self.hubs = [started if hub is vm else hub for hub in self.hubs]
         self.network.server_by_address[started.host, 7200] = started.respond
--- a/src/galenaferry/node/tests/test_notices_on_slow_links.py
+++ b/src/galenaferry/node/tests/test_notices_on_slow_links.py
@@ -9,7 +9,7 @@
 from galenaferry.node.tests.test_configuration_fleet import APPLY_MS, ROUTES_IN_BULK
 
 
-def make_large_fleet(monkeypatch, link_mbps, seed, nominal_mbps=None):
+def make_large_fleet(monkeypatch, link_mbps, seed, nominal_mbps=None, fast_per_zone=0):
     """Return 90 VMs in four zones, all with a small configuration."""
     fleet = ConfigurationFleet(
         monkeypatch,
@@ -19,6 +19,7 @@
         seed=seed,
         queue_bytes=LINK_QUEUE_BYTES,
         nominal_mbps=nominal_mbps,
+        fast_per_zone=fast_per_zone,
     )
     fleet.change(2, 20)
     fleet.run(5_000.0)
@@ -47,3 +48,13 @@
     fleet.change(8, ROUTES_IN_BULK)
     fleet.run(acked_at + APPLY_MS - fleet.clock.now())
     assert fleet.older_than(5) == []
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_bulk_routes_are_in_force_in_time_where_some_vms_have_fast_links(
+    monkeypatch, seed
+):
+    fleet = make_large_fleet(monkeypatch, 3.0, seed, nominal_mbps=10.0, fast_per_zone=2)
+    acked_at = fleet.change(5, ROUTES_IN_BULK)
+    fleet.run(APPLY_MS)
+    assert fleet.late(5, acked_at, APPLY_MS) == []
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -116,6 +116,7 @@
     target.isPlatformDown = member.is_platform_down
     target.relayPort = member.relay_port
     target.isCutOff = member.is_cut_off
+    target.linkClass = member.link_class
 
 
 def _read_member(source: Any) -> Member:
@@ -131,6 +132,7 @@
         is_platform_down=source.isPlatformDown,
         relay_port=source.relayPort,
         is_cut_off=source.isCutOff,
+        link_class=source.linkClass,
     )
 
 
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -12,6 +12,7 @@
   isPlatformDown @7 :Bool;
   relayPort @8 :UInt16;
   isCutOff @9 :Bool;
+  linkClass @10 :UInt8;
 }
 
 struct Heartbeat {
--- a/src/galenaferry/peers/tests/test_codec.py
+++ b/src/galenaferry/peers/tests/test_codec.py
@@ -27,7 +27,9 @@
 from galenaferry.spreading.messages import LogName, Page, PagePull, Pull, Push
 
 KEYS = PeerKeys(b"a key of the fleet")
-ME = Member("10.0.0.1:7000", 1764806400000, 7, "north", "andes", False, 3)
+ME = Member(
+    "10.0.0.1:7000", 1764806400000, 7, "north", "andes", False, 3, link_class=11
+)
 MESSAGES = [
     Heartbeat(4, "digest", Freshness(12), 9, (ME, ME._replace(is_leaving=True)), 8),
     Push(LogName.CONFIGURATION, ("one", "two")),
