Refuse requests by routes that should have been replaced by now

Cause: a VM that lacks a change said 503 only where it has no route; requests with an old route were served by it for as long as the change did not arrive. Class: acting on knowledge that is known to be out of date, past the time that was promised.

Change: once other VMs have had a newer configuration in force for longer than the time for changes (less the time that news takes), all requests get 503, not run, with a Retry-After; other VMs serve them. Only versions in force count, repeated within 3 s: news of the table alone, or of a version that no VM has any more, stops nothing. Notices of readers carry the version in force, so that VMs hear of it without luck in heartbeats. VMs of an earlier version send 0 there and ignore it.

Routes are kept while the change may be on its way, and with it when it has arrived.

--- a/src/galenaferry/discovery/messages.py
+++ b/src/galenaferry/discovery/messages.py
@@ -93,6 +93,8 @@
     confirmed_ago : float or None
         Time in milliseconds since the store is known to have had no changes after
         ``version``; None in notices of VMs of an earlier version.
+    version_in_force : int
+        Version of the configuration in force on the sender, 0 if unknown.
     """
 
     after: StoreVersion
@@ -101,6 +103,7 @@
     failed_ago: Millis = NEVER_FAILED_MS
     table: str = ""
     confirmed_ago: Millis | None = None
+    version_in_force: int = 0
 
 
 class HistoryLost(NamedTuple):
--- a/src/galenaferry/discovery/news.py
+++ b/src/galenaferry/discovery/news.py
@@ -43,9 +43,11 @@
             self._newest = version
             self._heard_at = now
 
-    def is_newer_than(self, version: V, now: Millis) -> bool:
-        """Whether another VM has lately told of a newer version."""
-        return self._newest > version and not self._is_old(now)
+    def is_newer_than(
+        self, version: V, now: Millis, max_age: Millis = MAX_NEWS_AGE_MS
+    ) -> bool:
+        """Whether another VM has told of a newer version in the last ``max_age`` ms."""
+        return self._newest > version and now - self._heard_at <= max_age
 
     def behind_for(self, version: V, now: Millis) -> Millis:
         """Return how long a version newer than ``version`` is known, 0 if none is.
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -148,6 +148,7 @@
             int(settings.budget.ratio * 100.0),
             random,
             lambda: self.tables.is_configuration_current,
+            lambda: self.tables.is_configuration_outdated,
         )
         self._register = VmRegister(
             loop, adapter.store, adapter.tables.vms, settings.name, self.table, random
@@ -168,6 +169,7 @@
             ),
             random,
             settings.is_first_start,
+            settings.configuration_timeout,
         )
         self.tables.add_peer_table(
             adapter.tables.blocked_requests, self.crashes.table.update_since
--- a/src/galenaferry/node/configuration.py
+++ b/src/galenaferry/node/configuration.py
@@ -29,6 +29,8 @@
 """Name under which VMs give each other the configuration in force on them."""
 FETCH_DELAY_MS: Final[Millis] = 250.0
 """Time in which this VM's own copy of the table should have the same version."""
+REPEATED_WITHIN_MS: Final[Millis] = 3_000.0
+"""Time within which readers' notices and heartbeats repeat a version in force."""
 
 log = logger("configuration")
 
@@ -136,6 +138,13 @@
         now = self._loop.clock.now()
         return self._news.is_newer_than(self._version_in_force(), now)
 
+    @property
+    def is_newer_repeated(self) -> bool:
+        """Whether other VMs still tell of a newer version in force."""
+        return self._news.is_newer_than(
+            self._version_in_force(), self._loop.clock.now(), REPEATED_WITHIN_MS
+        )
+
     @property
     def behind_for(self) -> Millis:
         """Time for which another VM is known to have a newer version in force."""
--- a/src/galenaferry/node/settings.py
+++ b/src/galenaferry/node/settings.py
@@ -1,12 +1,14 @@
 """Settings of one VM of the fleet."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from ..attempts.fleet_budget import BudgetBounds
 from ..clock import Millis
 
 Address = tuple[str, int]
 
+DEFAULT_CONFIGURATION_TIMEOUT_MS: Final[Millis] = 5_000.0
+
 
 class NodeSettings(NamedTuple):
     """Addresses and limits of one VM; times in milliseconds.
@@ -23,7 +25,8 @@
     ``budget`` limits the retries of the whole fleet.
     ``is_first_start`` is set if the fleet as a whole has never run before.
     ``link_rate`` is the bandwidth of the VM's link in bytes per millisecond, 0 if it is
-    not known.
+    not known. ``configuration_timeout`` is the time within which a change of the
+    configuration must be in force.
     """
 
     name: str
@@ -41,3 +44,4 @@
     is_first_start: bool = False
     relay: Address | None = None
     link_rate: float = 0.0
+    configuration_timeout: Millis = DEFAULT_CONFIGURATION_TIMEOUT_MS
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -27,6 +27,9 @@
 FIRST_START_DELAY_MS: Final = 3_000.0
 """Time after the first start of the fleet in which VMs find each other, so that a few
 of them read the tables for all. A request that arrives earlier ends it."""
+NEWS_DELAY_MS: Final[Millis] = 1_000.0
+"""Time after a change in which this VM hears of it, since readers tell of a large one
+when they have received it."""
 CONFIGURATION_COALESCING_MS: Final = 100.0
 INSTANCES_COALESCING_MS: Final = 400.0
 """Changes within this time are read in one call. 400 ms is a fifth of the 2 s after
@@ -73,6 +76,9 @@
     random : Random
     is_first_start : bool
         Whether the fleet as a whole starts for the first time.
+    configuration_timeout : float
+        Time in milliseconds within which a change of the configuration must be in
+        force.
     """
 
     def __init__(
@@ -84,9 +90,12 @@
         listeners: TableListeners,
         random: Random,
         is_first_start: bool,
+        configuration_timeout: Millis,
     ) -> None:
+        self._outdated_after = max(0.0, configuration_timeout - NEWS_DELAY_MS)
         self._loop = loop
         self._names = adapter.tables
+        self._fleet = fleet
         self._routes = routes
         self._listeners = listeners
         self._configuration_updater = ConfigurationUpdater(adapter, routes)
@@ -107,7 +116,7 @@
             random,
             self._on_configuration_change,
             fleet.is_designated_reader,
-            fleet.send_notice,
+            self._send_notice,
             listeners.on_restored,
             fleet.is_near,
         )
@@ -124,7 +133,7 @@
             random,
             instance_updater.on_change,
             fleet.is_designated_reader,
-            fleet.send_notice,
+            self._send_notice,
             is_near=fleet.is_near,
         )
         self._peer_configurations = PeerConfigurations(
@@ -169,6 +178,18 @@
             self.configuration.is_confirmed and not self._peer_configurations.is_behind
         )
 
+    @property
+    def is_configuration_outdated(self) -> bool:
+        """Whether a newer configuration should be in force on this VM by now.
+
+        Another VM must have it in force, since a table may change without a newer
+        configuration. News of the table comes earlier, and tells since when.
+        """
+        return (
+            self._peer_configurations.is_newer_repeated
+            and self.configuration_behind_for > self._outdated_after
+        )
+
     @property
     def refreshes(self) -> tuple[Callable[[], None], ...]:
         """Functions that read the tables again."""
@@ -201,6 +222,7 @@
         is_configuration = notice.table == self._names.configuration
         follower = self.configuration if is_configuration else self.instances
         follower.on_notice(address, notice)
+        self._peer_configurations.on_peer_version(address, notice.version_in_force)
 
     def respond_to_peer(self, request: JsonRequest) -> JsonResponse:
         """Answer another VM's request for a table."""
@@ -214,6 +236,10 @@
         """Return the state of the instances' table as JSON data."""
         return _dump(self.instances)
 
+    def _send_notice(self, notice: TableNotice) -> None:
+        version = self._routes.version
+        self._fleet.send_notice(notice._replace(version_in_force=version))
+
     def _on_configuration_change(self, rows: tuple[TableRow, ...]) -> None:
         table = self.configuration
         self._on_configuration_rows(rows, table.source, table.was_behind_for)
--- a/src/galenaferry/node/tests/configuration_fleet.py
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -34,6 +34,7 @@
 STORE_ADDRESS = ("10.200.1.7", 8384)
 STORE_BYTES_PER_MS = 500_000.0
 FAST_MBPS = 200.0
+CONFIGURATION_TIMEOUT_MS = 2_500.0
 LINK_QUEUE_BYTES = 16_384
 """What the link of a small VM queues before it drops datagrams."""
 PEER_KEYS = PeerKeys(b"key of the fleet")
@@ -183,7 +184,10 @@
         )
         settings = parse_node_file("local.toml", NODE_FILE).unwrap()
         self.routes = HostRouteTable(
-            20, Random(number), lambda: self.tables.is_configuration_current
+            20,
+            Random(number),
+            lambda: self.tables.is_configuration_current,
+            lambda: self.tables.is_configuration_outdated,
         )
         self.applied_at = {}
         self.is_stopped = False
@@ -204,6 +208,7 @@
             TableListeners(lambda rows: None, self._on_configuration, lambda: None),
             Random(number),
             is_first_start=False,
+            configuration_timeout=CONFIGURATION_TIMEOUT_MS,
         )
 
     def respond(self, request, respond):
@@ -292,6 +297,8 @@
         self.store = FakeStore(self.loop)
         self.network.link_by_host[STORE_ADDRESS[0]] = Link(STORE_BYTES_PER_MS)
         self.socket_by_address = {}
+        # Hosts whose connections are accepted and never answered.
+        self.hanging = set()
         monkeypatch.setattr(fetch_module, "connect", self._connect)
         monkeypatch.setattr(peers_module, "DatagramSocket", FakeDatagramSocket)
         self.vms = []
@@ -321,7 +328,9 @@
 
     def _connect(self, loop, address, owner):
         server = self.network.server_by_address.get(address)
-        if address == STORE_ADDRESS:
+        if loop.host in self.hanging:
+            server = None
+        elif address == STORE_ADDRESS:
             server = self.store.server_for(loop.host)
         return self.network.connect(loop.host, address[0], server, owner)
 
--- a/src/galenaferry/peers/codec.py
+++ b/src/galenaferry/peers/codec.py
@@ -254,6 +254,7 @@
     target.failedAgoMs = min(int(notice.failed_ago), MAX_AGE_MS)
     if notice.confirmed_ago is not None:
         target.confirmedAgoMs = min(int(notice.confirmed_ago), MAX_AGE_MS - 1)
+    target.versionInForce = notice.version_in_force
     rows = target.init("rows", len(notice.rows))
     for index, row in enumerate(notice.rows):
         rows[index].key = row.key
@@ -272,6 +273,7 @@
             else float(source.confirmedAgoMs)
         ),
         table=source.table,
+        version_in_force=source.versionInForce,
         rows=tuple(
             TableRow(row.key, None if row.isRemoved else bytes(row.value))
             for row in source.rows
--- a/src/galenaferry/peers/datagram.capnp
+++ b/src/galenaferry/peers/datagram.capnp
@@ -109,6 +109,7 @@
   afterEra @5 :UInt32;
   versionEra @6 :UInt32;
   confirmedAgoMs @7 :UInt32 = 0xffffffff;
+  versionInForce @8 :UInt64;
 }
 
 struct Datagram {
--- a/src/galenaferry/peers/tests/test_codec.py
+++ b/src/galenaferry/peers/tests/test_codec.py
@@ -55,6 +55,7 @@
     TableNotice(
         StoreVersion(1, 5), StoreVersion(1, 5), (), table="op", confirmed_ago=0.0
     ),
+    TableNotice(StoreVersion(1, 5), StoreVersion(1, 5), (), version_in_force=2**32),
 ]
 
 
--- a/src/galenaferry/platform/settings.py
+++ b/src/galenaferry/platform/settings.py
@@ -10,7 +10,11 @@
 from ..attempts.fleet_budget import BudgetBounds
 from ..findings import Finding
 from ..ini import parse_address
-from ..node.settings import Address, NodeSettings
+from ..node.settings import (
+    DEFAULT_CONFIGURATION_TIMEOUT_MS,
+    Address,
+    NodeSettings,
+)
 
 BYTES_PER_MS_OF_MBPS: Final = 125.0
 
@@ -93,6 +97,9 @@
             slack=bounds.read("retryBudgetSlack", _parse_number, 0.0),
             window=bounds.read("budgetWindowS", _parse_number, 0.0) * 1000.0,
         ),
+        configuration_timeout=bounds.read_optional(
+            "configApplyMs", _parse_number, DEFAULT_CONFIGURATION_TIMEOUT_MS
+        ),
         relay=(ip, ports[0] + 1) if ports[1] > ports[0] else None,
         link_rate=BYTES_PER_MS_OF_MBPS
         * limits.read_optional("linkMbps", _parse_number, 0.0),
--- a/src/galenaferry/routing/hosts.py
+++ b/src/galenaferry/routing/hosts.py
@@ -11,7 +11,14 @@
 from ..configuration.policy import DEFAULT_POLICY, Policy
 from ..framing.limits import UNKNOWN_LIMITS, CallerLimits
 from ..framing.messages import RequestHead
-from .table import MAY_LACK_ROUTE, NO_CONFIGURATION, NoRoute, Route, RouteResult
+from .table import (
+    LACKS_CHANGE,
+    MAY_LACK_ROUTE,
+    NO_CONFIGURATION,
+    NoRoute,
+    Route,
+    RouteResult,
+)
 
 SLASH: Final = b"/"
 CONNECT_TIMEOUT_MS: Final = 300
@@ -78,6 +85,9 @@
         Chooses between the weighted services of a route.
     is_current : callable
         Whether this VM is sure that there is no newer configuration.
+    is_outdated : callable
+        Whether other VMs have had a newer configuration in force for so long that this
+        VM must not act on its own.
     """
 
     def __init__(
@@ -85,8 +95,10 @@
         retry_percent: int,
         random: Random,
         is_current: Callable[[], bool] = lambda: True,
+        is_outdated: Callable[[], bool] = lambda: False,
     ) -> None:
         self._is_current = is_current
+        self._is_outdated = is_outdated
         self._retry_percent = retry_percent
         self._random = random
         self._document: RoutingDocument | None = None
@@ -133,6 +145,8 @@
         """Return the route of a request, or why there is none."""
         if self._document is None:
             return NO_CONFIGURATION
+        if self._is_outdated():
+            return LACKS_CHANGE
         host = (head.header(b"host") or b"").partition(b":")[0].lower()
         route = _find_longest_prefix(self._routes_by_host.get(host, {}), head.target)
         if route is None:
