Go on reading a table after a change that could not be applied

Instances that joined got no requests on VMs whose listener had raised an exception once, and nothing was served after a restart.

Cause: an exception in a listener left TableFollower._on_result before the next read was scheduled. The follower still took itself for one that reads, so it started no other read, and as a reader it went on telling its zone that there was no news. Class: a callback that fails must not end the loop of which it is a part.

Change: the next read is scheduled whatever becomes of the update. The exception still reaches the event loop, which logs it.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -471,17 +471,24 @@
                     self._confirmed_at = self._loop.clock.now()
                 is_first = not self.is_loaded
                 # The notice starts at ``last_change_version``, which ``_apply`` sets.
-                self._broadcast_update(update)
-                self._apply(update, STORE_SOURCE)
-                self._is_news_read = False
-                if not self._needs_own_read():
-                    # It was read once for news of it.
-                    self._stop_reading()
-                    return
-                delay = self._settings.coalescing_delay if update.rows else 0.0
-                if is_first and self._settings.is_shared:
-                    delay = max(delay, ROLE_DELAY_MS)
-                self._schedule_read(delay, self._poll)
+                try:
+                    self._broadcast_update(update)
+                    self._apply(update, STORE_SOURCE)
+                finally:
+                    # Reads go on also after a failure of a listener.
+                    self._continue_reading(update, is_first)
+
+    def _continue_reading(self, update: TableUpdate, is_first: bool) -> None:
+        """Schedule the read after one that returned ``update``."""
+        self._is_news_read = False
+        if not self._needs_own_read():
+            # It was read once for news of it.
+            self._stop_reading()
+            return
+        delay = self._settings.coalescing_delay if update.rows else 0.0
+        if is_first and self._settings.is_shared:
+            delay = max(delay, ROLE_DELAY_MS)
+        self._schedule_read(delay, self._poll)
 
     def _on_late_result(
         self, result: Result[TableUpdate | HistoryLost, TableError]
