Accept no entry that can't be parsed, and lose none beside it

Cause: json.loads raises RecursionError for some thousand brackets, float() OverflowError for an integer of over 308 digits; the decoders expected neither. The exception left the update with all rows that had come in the same read. Class: bytes of another writer that reach code which only expects certain errors.

Change: one parser for JSON from outside (json_data.py), used by all readers of rows, responses, transfers and requests. Numbers have a range, texts must be encodable (a lone surrogate raised later, where the zone was sent on), rows of VMs and blocked requests are checked for their types. A row of the store's response that is invalid is left out instead of failing the whole read. Errors in logs are short whatever the value.

Ports out of range, -1 or in other digits, and integers of 5,000 digits were refused before.

--- a/src/galenaferry/claims/messages.py
+++ b/src/galenaferry/claims/messages.py
@@ -5,6 +5,8 @@
 from enum import Enum
 from typing import Any, NamedTuple
 
+from ..json_data import parse_json
+
 
 class ClaimState(Enum):
     """State of the row of a claim.
@@ -109,7 +111,7 @@
         If the text is not a valid row.
     """
     try:
-        data = json.loads(text)
+        data = parse_json(text)
         return ClaimRow(
             state=ClaimState(data["state"]),
             owner=str(data["owner"]),
--- a/src/galenaferry/configuration/acceptance.py
+++ b/src/galenaferry/configuration/acceptance.py
@@ -15,6 +15,7 @@
 
 from ..clock import Millis
 from ..findings import Finding
+from ..json_data import parse_json
 from ..network.loop import Loop
 from ..store.client import PlatformClient
 from ..store.messages import (
@@ -99,7 +100,7 @@
         If the text is not a head.
     """
     try:
-        data = json.loads(text)
+        data = parse_json(text)
         return Head(int(data["version"]), str(data["digest"]))
     except (KeyError, TypeError) as error:
         raise ValueError(f"invalid configuration head: {error!r}") from None
--- a/src/galenaferry/configuration/messages.py
+++ b/src/galenaferry/configuration/messages.py
@@ -4,6 +4,8 @@
 import json
 from typing import NamedTuple, TypedDict
 
+from ..json_data import parse_json
+
 
 class Edit(NamedTuple):
     """A new value for one key of one section; None removes the key."""
@@ -122,7 +124,7 @@
         If the text is not a change.
     """
     try:
-        row = json.loads(text)
+        row = parse_json(text)
         return Change(
             version=int(row["version"]),
             id=str(row["id"]),
--- a/src/galenaferry/configuration/snapshots.py
+++ b/src/galenaferry/configuration/snapshots.py
@@ -12,6 +12,7 @@
 
 from result import Err, Result
 
+from ..json_data import parse_json
 from ..store.client import PlatformClient
 from ..store.messages import PlatformError
 from .compact import Configuration, content_digest
@@ -114,7 +115,7 @@
             self._done(None)
             return
         try:
-            data: Any = json.loads(result.ok_value)
+            data: Any = parse_json(result.ok_value)
             self._head = Head(int(data["version"]), str(data["digest"]))
             self._digests = [str(digest) for digest in data["pages"]]
         except (ValueError, KeyError, TypeError):
@@ -152,7 +153,7 @@
 
 def _decode_page(text: str | None) -> Sections | None:
     try:
-        page = json.loads(text or "")
+        page = parse_json(text or "")
     except ValueError:
         return None
     if not isinstance(page, dict):
--- a/src/galenaferry/configuration/state.py
+++ b/src/galenaferry/configuration/state.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 from typing import Final
 
+from ..json_data import parse_json
 from ..spreading.messages import ApplyResult
 from .compact import Configuration
 from .document import Sections, apply_edits
@@ -74,7 +75,7 @@
         """
         if version <= self.version:
             return False
-        configuration = Configuration(dict(json.loads(row) for row in rows))
+        configuration = Configuration(dict(parse_json(row) for row in rows))
         return self.load_snapshot(Head(version, digest), configuration)
 
     def adopt(self, change: Change) -> ApplyResult:
--- a/src/galenaferry/crashes/blocked_table.py
+++ b/src/galenaferry/crashes/blocked_table.py
@@ -23,6 +23,7 @@
     TableRow,
     TableUpdate,
 )
+from ..json_data import check_text, parse_json
 from ..logs import logger
 from ..network.loop import Loop, Timer
 from .messages import Blocked
@@ -147,11 +148,11 @@
             if row.value is None or CLAIM_SEPARATOR in row.key:
                 continue
             try:
-                data: Any = json.loads(row.value)
+                data: Any = parse_json(row.value)
                 if data["is_blocked"]:
                     found[bytes.fromhex(row.key)] = Blocked(
-                        frozenset(str(version) for version in data["crashed"]),
-                        frozenset(str(version) for version in data["serving"]),
+                        frozenset(check_text(v, "crashed") for v in data["crashed"]),
+                        frozenset(check_text(v, "serving") for v in data["serving"]),
                     )
             except (ValueError, KeyError, TypeError) as error:
                 log.warning(
--- a/src/galenaferry/discovery/peer_updates.py
+++ b/src/galenaferry/discovery/peer_updates.py
@@ -1,7 +1,6 @@
 """Transfer of table updates between VMs, over HTTP on their peer addresses."""
 
 import base64
-import json
 import zlib
 from collections.abc import Callable, Mapping
 from functools import lru_cache
@@ -11,6 +10,7 @@
 from result import Err, Ok, Result
 
 from ..clock import Millis
+from ..json_data import parse_json
 from ..network.fetch import MAX_RESPONSE_BYTES, FetchRequest, FetchResult, fetch
 from ..network.json_server import JsonRequest, JsonResponse
 from ..network.loop import Loop
@@ -72,7 +72,7 @@
         When the body is not an encoded update.
     """
     try:
-        data = json.loads(body)
+        data = parse_json(body)
         rows = tuple(_decode_row(*row) for row in data["rows"])
         version = StoreVersion(int(data.get("era", 0)), int(data["version"]))
         is_whole = bool(data["whole"])
--- a/src/galenaferry/membership/vm_list.py
+++ b/src/galenaferry/membership/vm_list.py
@@ -5,6 +5,7 @@
 from typing import Any, Final, NamedTuple
 
 from ..backends.messages import Instance
+from ..json_data import parse_json
 from ..spreading.messages import ApplyResult
 from .messages import Member
 
@@ -47,7 +48,7 @@
         When the text is not an encoded change.
     """
     try:
-        revision, address, row = json.loads(text)
+        revision, address, row = parse_json(text)
         return VmChange(int(revision), str(address), row and decode_row(row))
     except (TypeError, ValueError) as error:
         raise ValueError(f"invalid change of the VM list: {error}") from None
@@ -145,7 +146,7 @@
 
     def load_rows(self, version: int, digest: str, rows: list[str]) -> bool:
         """Replace all rows by encoded ones if ``version`` is newer."""
-        return self.load(version, [decode_row(json.loads(row)) for row in rows])
+        return self.load(version, [decode_row(parse_json(row)) for row in rows])
 
     def entry_vms(self) -> list[Member]:
         """Return the entry VMs that are not leaving, as unconfirmed members."""
--- a/src/galenaferry/network/json_server.py
+++ b/src/galenaferry/network/json_server.py
@@ -13,6 +13,7 @@
 from circuits import BaseComponent, handler
 from circuits.web import Server
 
+from ..json_data import parse_json
 from ..logs import logger
 
 log = logger("json_server")
@@ -84,7 +85,7 @@
     def _handle_request(self, request: Any) -> JsonResponse:
         raw_body = request.body.read()
         try:
-            body = json.loads(raw_body) if raw_body else None
+            body = parse_json(raw_body) if raw_body else None
         except ValueError:
             body = None
         return self._respond(
--- a/src/galenaferry/node/vm_register.py
+++ b/src/galenaferry/node/vm_register.py
@@ -15,6 +15,7 @@
 from ..clock import Millis
 from ..discovery.messages import HistoryLost, TableError, TableRow, TableUpdate
 from ..ini import parse_address
+from ..json_data import check_text, parse_json
 from ..logs import logger
 from ..membership.messages import Member
 from ..membership.state import MemberTable
@@ -131,9 +132,11 @@
 
 def _parse_row(row: TableRow) -> Member | None:
     try:
-        address, zone, region = json.loads(row.value or b"")
-        parse_address(str(address))
+        address, zone, region = parse_json(row.value or b"")
+        parse_address(check_text(address, "the address"))
+        check_text(zone, "the zone")
+        check_text(region, "the region")
     except (ValueError, TypeError) as error:
         log.warning("invalid row in the table of VMs", row=row.key, error=str(error))
         return None
-    return Member(str(address), 0, 0, str(zone), str(region), False, 0)
+    return Member(address, 0, 0, zone, region, False, 0)
--- a/src/galenaferry/platform/documents.py
+++ b/src/galenaferry/platform/documents.py
@@ -1,6 +1,6 @@
 """Decoding of the rows that the operator and the instances write to the store."""
 
-import json
+import math
 from typing import Any, Final
 
 from result import Err, Ok, Result
@@ -9,6 +9,7 @@
 from ..clock import Millis
 from ..framing.limits import CallerLimits
 from ..ini import parse_address
+from ..json_data import MAX_INTEGER, check_text, parse_json
 from ..routing.hosts import HostRoute, RoutingDocument, ServiceSettings, WeightedService
 
 CONFIGURATION_TABLE: Final = "op"
@@ -20,12 +21,14 @@
 IDEMPOTENT_KINDS: Final = frozenset(("idempotent", "download"))
 ROUTE_KINDS: Final = IDEMPOTENT_KINDS | {"non_idempotent"}
 INSTANCE_STATES: Final = frozenset(("ready", "draining"))
+MAX_ERROR_LENGTH: Final = 200
+"""Characters of an error, which may quote a value of any length."""
 
 
 def decode_configuration(value: bytes) -> Result[RoutingDocument, str]:
     """Decode the configuration that the operator wrote; return the error otherwise."""
     try:
-        data = json.loads(value)
+        data = parse_json(value)
         services = [_parse_service(row) for row in _get_list(data, "services")]
         document = RoutingDocument(
             # The version is a string of eight hexadecimal digits.
@@ -35,7 +38,7 @@
             limits=_parse_limits(data["limits"]),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return Err(f"{type(error).__name__}: {error}")
+        return Err(_describe(error))
     return Ok(document)
 
 
@@ -51,7 +54,8 @@
         Monotonic time at which the row was read.
     """
     try:
-        data = json.loads(value)
+        check_text(key, "the key")
+        data = parse_json(value)
         info, status = data["info"], data["status"]
         address = _get_string(data, "address")
         parse_address(address)
@@ -72,10 +76,14 @@
             version=_get_string(info, "version"),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return Err(f"{type(error).__name__}: {error}")
+        return Err(_describe(error))
     return Ok(instance)
 
 
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"[:MAX_ERROR_LENGTH]
+
+
 def _parse_route(row: dict[str, Any]) -> HostRoute:
     kind = _get_string(row, "kind")
     if kind not in ROUTE_KINDS:
@@ -90,7 +98,10 @@
         max_attempts=max(1, _get_integer(row, "maxAttempts"))
         if "maxAttempts" in row
         else 1,
-        total_timeout=_get_number(row, "timeoutMs") if row.get("timeoutMs") else None,
+        # 0 stands for none.
+        total_timeout=(_get_number(row, "timeoutMs") or None)
+        if "timeoutMs" in row
+        else None,
         target_latency=_get_number(row, "targetLatencyMs")
         if "targetLatencyMs" in row
         else 0.0,
@@ -134,21 +145,26 @@
 
 
 def _get_string(row: dict[str, Any], name: str) -> str:
-    value = row[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name} is not a non-empty string")
+    value = check_text(row[name], name)
+    if not value:
+        raise ValueError(f"{name} is empty")
     return value
 
 
 def _get_integer(row: dict[str, Any], name: str) -> int:
     value = row[name]
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise ValueError(f"{name} is not a non-negative integer")
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise ValueError(f"{name} is not an integer")
+    if not 0 <= value <= MAX_INTEGER:
+        raise ValueError(f"{name} is out of range")
     return value
 
 
 def _get_number(row: dict[str, Any], name: str) -> float:
     value = row[name]
-    if not isinstance(value, int | float) or isinstance(value, bool) or value < 0:
-        raise ValueError(f"{name} is not a non-negative number")
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise ValueError(f"{name} is not a number")
+    # NaN is in no range.
+    if not 0 <= value <= MAX_INTEGER or not math.isfinite(value):
+        raise ValueError(f"{name} is out of range")
     return float(value)
--- a/src/galenaferry/platform/store.py
+++ b/src/galenaferry/platform/store.py
@@ -3,7 +3,7 @@
 import base64
 import json
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
@@ -21,6 +21,8 @@
     TableUpdateCallback,
 )
 from ..framing.messages import find_header
+from ..json_data import check_text, parse_json
+from ..logs import logger
 from ..network.fetch import FetchRequest, FetchResponse, FetchResult, fetch
 from ..network.loop import Loop
 from ..numbers import parse_whole_number
@@ -39,6 +41,16 @@
 that lacked its latest changes."""
 
 
+log = logger("discovery")
+
+
+class _FoundRow(NamedTuple):
+    """A row of a response, with the counter of its latest change."""
+
+    row: TableRow
+    counter: int
+
+
 class StoreClient:
     """Makes asynchronous calls to the store, each on its own connection.
 
@@ -184,7 +196,7 @@
             return Err(TableError(f"status {response.status}"))
         try:
             return Ok(parse(response, era.ok_value))
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, OverflowError) as error:
             return Err(TableError(f"invalid response: {error!r}"))
 
     def _read_era(self, response: FetchResponse) -> Result[int, TableError]:
@@ -223,10 +235,11 @@
 def _parse_page(
     response: FetchResponse, era: int
 ) -> tuple[StoreVersion, list[TableRow], StoreVersion, bool]:
-    data = json.loads(response.body)
-    rows = [_parse_row(row) for row in data["rows"]]
+    data = parse_json(response.body)
     version = _parse_version(data, era)
-    return version, rows, _last_change(data["rows"], version), bool(data["hasMore"])
+    found = _parse_rows(data["rows"], version)
+    rows = [one.row for one in found]
+    return version, rows, _last_change(found, version), bool(data["hasMore"])
 
 
 def _parse_version(data: dict[str, Any], era: int) -> StoreVersion:
@@ -237,26 +250,43 @@
 
 
 def _parse_changes(response: FetchResponse, era: int) -> TableUpdate:
-    data = json.loads(response.body)
-    # The request names no part of the table, so rows of other parts are skipped here.
-    found = [row for row in data["rows"] if not row.get("part")]
-    rows = tuple(_parse_row(row) for row in found)
+    data = parse_json(response.body)
     version = _parse_version(data, era)
+    found = _parse_rows(data["rows"], version)
+    rows = tuple(one.row for one in found)
     return TableUpdate(version, rows, False, _last_change(found, version))
 
 
-def _last_change(rows: list[dict[str, Any]], version: StoreVersion) -> StoreVersion:
+def _last_change(rows: list[_FoundRow], version: StoreVersion) -> StoreVersion:
     """Return the latest version of the rows, at most that of the response.
 
-    The version of the response also grows with changes of other tables. Rows without
-    a version count as changed at that of the response.
+    The version of the response also grows with changes of other tables.
     """
-    counters = (int(row.get("ver", version.counter)) for row in rows)
-    latest = max(counters, default=0)
+    latest = max((row.counter for row in rows), default=0)
     return StoreVersion(version.era, min(max(latest, 0), version.counter))
 
 
-def _parse_row(row: dict[str, Any]) -> TableRow:
-    if row.get("removed"):
-        return TableRow(str(row["key"]), None)
-    return TableRow(str(row["key"]), base64.b64decode(row["value"]))
+def _parse_rows(rows: Any, version: StoreVersion) -> list[_FoundRow]:
+    """Return the valid rows of a response; the others are logged and left out.
+
+    A request for changes names no part of the table, so rows of other parts are skipped
+    here.
+    """
+    found = []
+    for row in rows:
+        try:
+            if not row.get("part"):
+                found.append(_parse_row(row, version))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            log.warning("invalid row in a response of the store", error=repr(error))
+    return found
+
+
+def _parse_row(row: dict[str, Any], version: StoreVersion) -> _FoundRow:
+    key = check_text(row["key"], "the key")
+    value = None if row.get("removed") else base64.b64decode(row["value"])
+    # Rows without a version count as changed at that of the response.
+    counter = row.get("ver", version.counter)
+    if not isinstance(counter, int):
+        raise ValueError("the version is not an integer")
+    return _FoundRow(TableRow(key, value), counter)
--- a/src/galenaferry/store/client.py
+++ b/src/galenaferry/store/client.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from ..json_data import parse_json
 from ..membership.vm_list import VmChange, decode_row
 from ..network.fetch import FetchRequest, FetchResponse, FetchResult, fetch
 from ..network.loop import Loop
@@ -134,7 +135,7 @@
 
 
 def _parse_json(response: FetchResponse) -> Any:
-    return json.loads(response.body)
+    return parse_json(response.body)
 
 
 def _parse_row(response: FetchResponse) -> Row | None:
