Ignore offers of an upgrade instead of losing the body of the request

Cause: httptools reports a request that offers an upgrade as complete right after its head, and raises only when it has consumed it. The head had been passed on with its length by then, and the body counted as whole. Class: a message is passed on before it is known what it is.

Change: the offer is ignored, as RFC 9110 (7.8) allows: the rest of the message is parsed behind a head with the same framing. CONNECT is refused before its head is passed on. And the invariant where bytes leave: an attempt that declared a length sends exactly that many, else its connection is closed and the outcome is unknown.

--- a/src/galenaferry/framing/requests.py
+++ b/src/galenaferry/framing/requests.py
@@ -67,6 +67,9 @@
         self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._error: FramingError | None = None
+        # Head behind which the rest of a message that offers an upgrade is parsed.
+        self._body_head = b""
+        self._is_in_body_head = False
         self._reset()
 
     @property
@@ -101,9 +104,7 @@
         self._began_in_feed = False
         was_between_requests = not self._is_in_message
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise FramingError(501, "protocol upgrades are not supported") from None
+            self._feed_parser(data)
         except httptools.HttpParserCallbackError as error:
             if self._error is None:
                 # httptools wraps an exception of a callback; raise the original.
@@ -123,8 +124,30 @@
         if self._partial_head_bytes > self._limits.head_bytes + MAX_SEPARATOR_BYTES:
             raise self._size_error(431, "the head of the request is too large")
 
+    def _feed_parser(self, data: bytes) -> None:
+        """Feed the parser, and a new one after each head that offers an upgrade.
+
+        httptools takes such a head for the end of the message. The offer is ignored,
+        so the rest of the message is parsed behind a head without it.
+        """
+        rest = data
+        while True:
+            try:
+                self._parser.feed_data(rest)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                rest = rest[upgrade.args[0] :]
+            body_head = self._body_head
+            self._parser = httptools.HttpRequestParser(self)
+            self._is_in_body_head = True
+            self._parser.feed_data(body_head)
+            if not rest:
+                return
+
     def on_message_begin(self) -> None:
         """Reset the state for the next request (called by httptools)."""
+        if self._is_in_body_head:
+            return
         self._reset()
         self._limits = self._limits_in_force
         self._is_in_message = True
@@ -132,6 +155,8 @@
 
     def on_url(self, part: bytes) -> None:
         """Append a part of the request target (called by httptools)."""
+        if self._is_in_body_head:
+            return
         self._target += part
         self._add_head_bytes(len(part))
 
@@ -147,11 +172,18 @@
 
     def on_headers_complete(self) -> None:
         """Validate the head and pass it to the owner (called by httptools)."""
+        if self._is_in_body_head:
+            self._is_in_body_head = False
+            return
+        if self._parser.get_method() == b"CONNECT":
+            self._refuse(501, "CONNECT is not supported")
         self._is_head_complete = True
         self._partial_head_bytes = 0
         head = self._build_head()
         if head.length is not None and head.length > self._limits.body_bytes:
             self._refuse_size(413, "the body is too large")
+        if self._parser.should_upgrade():
+            self._body_head = _encode_body_head(head)
         self._owner.on_head(head)
 
     def on_body(self, data: bytes) -> None:
@@ -163,6 +195,9 @@
 
     def on_message_complete(self) -> None:
         """Report the end of the request to the owner (called by httptools)."""
+        if self._body_head and self._parser.should_upgrade():
+            # The body follows; see ``_feed_parser``.
+            return
         self._reset()
         self._owner.on_complete()
 
@@ -175,6 +210,7 @@
         self._partial_head_bytes = 0
         self._body_bytes = 0
         self._began_in_feed = False
+        self._body_head = b""
 
     def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
@@ -246,3 +282,19 @@
                     self._refuse(417, "only Expect: 100-continue is supported")
                 is_expected |= b"100-continue" in members
         return is_expected
+
+
+def _encode_body_head(head: RequestHead) -> bytes:
+    """Return a head with the framing and the persistence of a request."""
+    length = head.length
+    framing = (
+        b"Transfer-Encoding: chunked"
+        if length is None
+        else b"Content-Length: %d" % length
+    )
+    connection = b"keep-alive" if head.is_persistent else b"close"
+    return b"POST / HTTP/%b\r\n%b\r\nConnection: %b\r\n\r\n" % (
+        head.version.encode(),
+        framing,
+        connection,
+    )
--- a/src/galenaferry/requests/attempt.py
+++ b/src/galenaferry/requests/attempt.py
@@ -71,6 +71,7 @@
         "_is_done",
         "_is_head_forwarded",
         "_is_skipping",
+        "_length",
         "_loop",
         "_owner",
         "_policy",
@@ -96,6 +97,7 @@
         self._head = b""
         self._body = RequestBody()
         self._is_chunked = False
+        self._length: int | None = None
         self._is_body_sent = False
         self._is_head_forwarded = False
         self._is_done = False
@@ -126,7 +128,7 @@
         self,
         head: bytes,
         body: RequestBody,
-        is_chunked: bool,
+        length: int | None,
         is_head_request: bool,
         is_stale_response: Callable[[ResponseHead], bool],
     ) -> None:
@@ -137,8 +139,9 @@
         head : bytes
             Encoded head of the request.
         body : RequestBody
-        is_chunked : bool
-            Whether the body is sent with the chunked transfer coding.
+        length : int or None
+            Length of the body that the head declares; None if the body is sent with
+            the chunked transfer coding.
         is_head_request : bool
             Whether the method is HEAD, whose response has no body.
         is_stale_response : callable
@@ -146,7 +149,8 @@
         """
         self._head = head
         self._body = body
-        self._is_chunked = is_chunked
+        self._is_chunked = length is None
+        self._length = length
         self._connection.attach(self, is_head_request, is_stale_response)
         if self._connection.is_connected:
             self._send_head()
@@ -273,6 +277,11 @@
             if self._is_done:
                 return
         if body.is_complete:
+            if self._length is not None and body.size != self._length:
+                # What is sent next on the connection would become a part of this body.
+                reason = f"{body.size} bytes of body, {self._length} declared"
+                self._end(BrokenSent(reason, is_reused=True))
+                return
             self._is_body_sent = True
             if self._is_chunked:
                 self._connection.write(LAST_CHUNK)
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -424,7 +424,7 @@
         attempt.start(
             encode_request(self.head, headers),
             self.body,
-            self.head.length is None,
+            self.head.length,
             self.head.method == b"HEAD",
             lambda head: is_stale_response(
                 context.settings, head, self._request_id, instance.is_relay
