Hold bodies as bytes instead of lists of their parts

Cause: each part was an object of its own, of which only the length counted towards the limit: 1.3 MB for 60,000 bytes in pieces of two. And for each part that arrived, the lengths of all unsent ones were added up. Class: memory and work that grow with the number of pieces.

Change: the buffers of a request's body and of an answer are byte arrays, whose length is what they hold. Unsent parts of a body leave together, as one chunk.

--- a/src/galenaferry/requests/body.py
+++ b/src/galenaferry/requests/body.py
@@ -16,24 +16,24 @@
 
 
 class RequestBody:
-    """Parts of a request body that have arrived from the caller.
+    """Bytes of a request body that have arrived from the caller.
 
-    Sent parts are kept until the body exceeds ``REPLAY_LIMIT_BYTES``, so that another
+    Sent bytes are kept until the body exceeds ``REPLAY_LIMIT_BYTES``, so that another
     attempt can send them again. ``size`` is the number of bytes that have arrived.
     """
 
     __slots__ = (
+        "_data",
         "_digest",
-        "_parts",
-        "_sent_parts",
+        "_sent_bytes",
         "is_complete",
         "is_replayable",
         "size",
     )
 
     def __init__(self) -> None:
-        self._parts: list[bytes] = []
-        self._sent_parts = 0
+        self._data = bytearray()
+        self._sent_bytes = 0
         self._digest = b""
         self.is_complete = False
         self.is_replayable = True
@@ -41,28 +41,28 @@
 
     @property
     def has_unsent(self) -> bool:
-        """Whether a part has not been sent yet."""
-        return self._sent_parts < len(self._parts)
+        """Whether a byte has not been sent yet."""
+        return self._sent_bytes < len(self._data)
 
     @property
     def unsent_bytes(self) -> int:
         """Number of bytes that have not been sent yet."""
-        return sum(len(part) for part in self._parts[self._sent_parts :])
+        return len(self._data) - self._sent_bytes
 
     def append(self, part: bytes) -> None:
         """Add a part that has arrived from the caller."""
         self.size += len(part)
-        self._parts.append(part)
+        self._data += part
 
     def take_unsent(self) -> list[bytes]:
-        """Return the unsent parts and mark them as sent."""
-        parts = self._parts[self._sent_parts :]
+        """Return the unsent bytes in parts, and mark them as sent."""
+        unsent = bytes(self._data[self._sent_bytes :])
         if self.size > REPLAY_LIMIT_BYTES:
             self._digest = self.digest()
             self.is_replayable = False
-            self._parts.clear()
-        self._sent_parts = len(self._parts)
-        return parts
+            self._data.clear()
+        self._sent_bytes = len(self._data)
+        return [unsent] if unsent else []
 
     @property
     def is_digest_final(self) -> bool:
@@ -71,11 +71,11 @@
 
     def digest(self) -> bytes:
         """Return the digest of the first ``REPLAY_LIMIT_BYTES`` that have arrived."""
-        return self._digest or body_digest(b"".join(self._parts)[:REPLAY_LIMIT_BYTES])
+        return self._digest or body_digest(bytes(self._data[:REPLAY_LIMIT_BYTES]))
 
     def rewind(self) -> None:
-        """Mark all kept parts as unsent, for another attempt."""
-        self._sent_parts = 0
+        """Mark all kept bytes as unsent, for another attempt."""
+        self._sent_bytes = 0
 
 
 def is_body_too_large(
--- a/src/galenaferry/requests/buffered_answer.py
+++ b/src/galenaferry/requests/buffered_answer.py
@@ -15,7 +15,7 @@
         Size in bytes of the largest body that is buffered.
     """
 
-    __slots__ = ("_limit", "_parts", "_size", "extra", "head")
+    __slots__ = ("_data", "_limit", "extra", "head")
 
     def __init__(
         self, head: ResponseHead, extra: tuple[Header, ...], limit: int
@@ -23,19 +23,17 @@
         self.head = head
         self.extra = extra
         self._limit = limit
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._data = bytearray()
 
     @property
     def body(self) -> bytes:
         """The part of the body that has been received."""
-        return b"".join(self._parts)
+        return bytes(self._data)
 
     def append(self, data: bytes) -> bool:
         """Add a part of the body; False when the body exceeds the limit."""
-        self._parts.append(data)
-        self._size += len(data)
-        return self._size <= self._limit
+        self._data += data
+        return len(self._data) <= self._limit
 
 
 def is_bufferable(head: ResponseHead, limit: int) -> bool:
