Start a caller's next request when it has read the answers before

Cause: the end of an answer started the next request whatever the caller had read, so a connection held an answer for each request that was sent; and it started it on the same stack, several frames a refusal. Class: what is held grows with what is asked for, and a loop by way of calls.

Change: while the write buffer of a connection is above its mark, its next request waits, and nothing is read from it. The next request starts from the event loop.

--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -45,6 +45,7 @@
         "_is_answer_last",
         "_is_input_ended",
         "_is_reading_body",
+        "_is_start_delayed",
         "_limit_requests",
         "_limits",
         "_on_closed",
@@ -72,6 +73,7 @@
         self._is_answer_chunked = False
         self._is_answer_bodiless = False
         self._is_answer_last = False
+        self._is_start_delayed = False
         self._unsent_head = b""
         self.last_progress_at: Millis = context.loop.clock.now()
         self._answered_at: Millis = 0.0
@@ -144,7 +146,12 @@
     def on_drained(self) -> None:
         """Resume the answer after back-pressure (called by the stream)."""
         self.last_progress_at = self._context.loop.clock.now()
-        if self._exchanges:
+        if self._is_start_delayed:
+            self._is_start_delayed = False
+            self._stream.resume()
+            if self._exchanges:
+                self._start_next()
+        elif self._exchanges:
             self._exchanges[0].on_caller_drained()
 
     def on_ended(self, reason: str) -> None:
@@ -167,7 +174,8 @@
         self._exchanges.append(exchange)
         self._is_reading_body = True
         if len(self._exchanges) == 1:
-            exchange.start()
+            if not self._must_delay_start():
+                exchange.start()
         elif len(self._exchanges) >= PIPELINE_LIMIT:
             self._stream.pause()
 
@@ -232,10 +240,32 @@
             return
         self._stream.resume()
         if self._exchanges:
-            self._exchanges[0].start()
+            self._start_next()
         elif self._is_input_ended:
             self._close_after_answer()
 
+    def _start_next(self) -> None:
+        """Start the next request, once the caller has read most of the answers before.
+
+        It does not start within this call: many refusals in a row would exhaust the
+        stack.
+        """
+        if self._must_delay_start():
+            return
+        exchange = self._exchanges[0]
+        self._context.loop.call_soon(lambda: self._start_if_first(exchange))
+
+    def _must_delay_start(self) -> bool:
+        """Whether the caller must read on first; then ``on_drained`` starts requests."""
+        if self._stream.is_congested:
+            self._stream.pause()
+            self._is_start_delayed = True
+        return self._is_start_delayed
+
+    def _start_if_first(self, exchange: Exchange) -> None:
+        if self._exchanges and self._exchanges[0] is exchange:
+            exchange.start()
+
     def abort_answer(self) -> None:
         """Close before the end of the answer, so that the caller sees it truncated."""
         self.close()
--- /dev/null
+++ b/src/galenaferry/requests/tests/test_slow_callers.py
@@ -0,0 +1,90 @@
+"""Callers that send many requests ahead, and read the answers slowly or not at all."""
+
+import pytest
+
+from galenaferry.framing.limits import CallerLimits
+from galenaferry.network.stream import HIGH_WATER_BYTES
+from galenaferry.requests.interface import RequestSettings
+from galenaferry.requests.tests.builders import Bench, healthy
+
+ANSWER_BYTES = 400_000
+BUFFERED_BYTES = 1 << 20
+IDLE_TIMEOUT_MS = 2_000.0
+
+
+def make_bench():
+    return Bench(
+        modes=[healthy(), healthy()],
+        zones=["north", "north"],
+        settings=RequestSettings(buffer_limit_bytes=BUFFERED_BYTES),
+        limits=lambda: CallerLimits(idle_timeout=IDLE_TIMEOUT_MS),
+    )
+
+
+def held_bytes(bench):
+    return sum(
+        caller._stream._write_buffer_bytes for caller in bench.component._callers
+    )
+
+
+def read_some(caller, count):
+    try:
+        caller.received += caller._sock.recv(count)
+    except BlockingIOError:
+        return
+
+
+@pytest.mark.parametrize("ahead", [4, 16, 64])
+def test_the_memory_for_answers_does_not_grow_with_the_requests_sent_ahead(ahead):
+    bench = make_bench()
+    caller = bench.caller()
+    for _ in range(ahead):
+        caller.get(f"/bookings/size/{ANSWER_BYTES}")
+    for _ in range(150):
+        bench.run_for(10.0)
+        assert held_bytes(bench) <= HIGH_WATER_BYTES + ANSWER_BYTES + 1_000
+    answers = caller.answers(ahead)
+    assert [len(body) for _, _, body in answers] == [ANSWER_BYTES] * ahead
+
+
+def test_an_answer_that_its_caller_still_reads_is_not_dropped_as_idle():
+    bench = make_bench()
+    size = 2 * ANSWER_BYTES
+    # It is buffered whole, so that the request has ended long before the answer.
+    caller = bench.caller().get(f"/bookings/size/{size}")
+    bench.run(lambda: bench.context.counters.answered)
+    while len(caller.received) < size and not caller.is_closed:
+        bench.run_for(IDLE_TIMEOUT_MS / 8.0)
+        read_some(caller, 20_000)
+        assert bench.component.caller_count == 1
+    assert len(caller.received) >= size
+
+
+def test_a_caller_that_does_not_read_on_is_dropped_after_the_idle_timeout():
+    bench = make_bench()
+    caller = bench.caller().get(f"/bookings/size/{ANSWER_BYTES}")
+    bench.run(lambda: bench.context.counters.answered)
+    bench.run_for(0.7 * IDLE_TIMEOUT_MS)
+    assert bench.component.caller_count == 1
+    bench.run_for(2.0 * IDLE_TIMEOUT_MS)
+    assert bench.component.caller_count == 0
+    caller.close()
+
+
+def test_refusals_in_a_row_are_all_sent():
+    bench = make_bench()
+    caller = bench.caller().get("/bookings/first")
+    caller.send(b"GET /none/x HTTP/1.1\r\nHost: a\r\n\r\n" * 600)
+    answers = caller.answers(601)
+    assert [status for status, _, _ in answers] == [200] + [404] * 600
+
+
+def test_the_memory_does_not_grow_with_requests_that_are_sent_one_by_one():
+    bench = make_bench()
+    caller = bench.caller()
+    for _ in range(30):
+        caller.get(f"/bookings/size/{ANSWER_BYTES}")
+        bench.run_for(50.0)
+        assert held_bytes(bench) <= HIGH_WATER_BYTES + ANSWER_BYTES + 1_000
+    answers = caller.answers(30)
+    assert [len(body) for _, _, body in answers] == [ANSWER_BYTES] * 30
