Drop callers for idleness only when they neither send nor read

Class: a connection that still owes bytes is not idle.

A caller that has unsent answers and makes none for the idle timeout is closed, also while its next requests wait for it.

Tests: two cases of test_slow_callers.py failed before (3.9 of 4.2 MB read; the connection stayed).

--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -38,6 +38,7 @@
     __slots__ = (
         "_address",
         "_answered_at",
+        "_bytes_sent_seen",
         "_context",
         "_exchanges",
         "_is_answer_bodiless",
@@ -77,6 +78,7 @@
         self._unsent_head = b""
         self.last_progress_at: Millis = context.loop.clock.now()
         self._answered_at: Millis = 0.0
+        self._bytes_sent_seen = 0
         self._limit_requests = limit_requests
         self._limits = context.limits()
         self._reader = RequestReader(self, limit_requests(self._limits))
@@ -116,6 +118,22 @@
         if self._stream.owner is self:
             self._stream.receive_pending()
 
+    def idle_time(self, now: Millis) -> Millis:
+        """Return for how long nothing has been received or sent.
+
+        Bytes that were sent count from the call that notices them.
+        """
+        if self._stream.bytes_sent != self._bytes_sent_seen:
+            self._bytes_sent_seen = self._stream.bytes_sent
+            self.last_progress_at = now
+        return now - self.last_progress_at
+
+    @property
+    def is_waiting_for_caller(self) -> bool:
+        """Whether answers are unsent and no request is being served meanwhile."""
+        is_serving = bool(self._exchanges) and not self._is_start_delayed
+        return self._stream.has_unsent and not is_serving
+
     @property
     def has_exchange(self) -> bool:
         """Whether a request has not been answered completely."""
@@ -256,7 +274,7 @@
         self._context.loop.call_soon(lambda: self._start_if_first(exchange))
 
     def _must_delay_start(self) -> bool:
-        """Whether the caller must read on first; then ``on_drained`` starts requests."""
+        """Whether the caller must read on first; ``on_drained`` starts it then."""
         if self._stream.is_congested:
             self._stream.pause()
             self._is_start_delayed = True
--- a/src/galenaferry/requests/component.py
+++ b/src/galenaferry/requests/component.py
@@ -112,12 +112,20 @@
         self._callers.discard(caller)
 
     def _sweep(self) -> None:
-        """Close connections that are idle or too slow to send a request head."""
+        """Close connections that are idle or too slow.
+
+        A caller is too slow if it does not send a request head, or does not read on.
+        """
         now = self.context.loop.clock.now()
         limits = self.context.limits()
         for caller in list(self._callers):
-            idle = now - caller.last_progress_at
-            limit = limits.idle_timeout if caller.is_idle else limits.head_timeout
-            if not caller.has_exchange and idle > limit:
+            idle = caller.idle_time(now)
+            if caller.is_waiting_for_caller:
+                limit = limits.idle_timeout
+            elif caller.has_exchange:
+                continue
+            else:
+                limit = limits.idle_timeout if caller.is_idle else limits.head_timeout
+            if idle > limit:
                 caller.close()
         self.context.directory.close_idle()
