Let paced bursts grow with the bandwidth of the link

On fast links the pacer sent 8 kB every 2 ms, a third of what a hub on 200 Mbit/s may use: bursts of outcomes to zones of 60 VMs would have queued. The size of a burst now covers two of the shortest waits; on links of 10 Mbit/s it stays 8 kB.

--- a/src/galenaferry/peers/pacing.py
+++ b/src/galenaferry/peers/pacing.py
@@ -16,7 +16,8 @@
 LINK_SHARE: Final = 0.5
 """Share of the link's bandwidth that datagrams may use."""
 BURST_BYTES: Final = 8_192
-"""Bytes that are sent at once after a pause; links queue at least that."""
+"""Bytes that are sent at once after a pause; links queue at least that. Fast links
+take what they carry in two of the shortest waits."""
 MAX_QUEUE_MS: Final[Millis] = 500.0
 """Time in which a full queue is sent; what does not fit replaces what is older."""
 MIN_WAIT_MS: Final[Millis] = 2.0
@@ -57,7 +58,8 @@
         self._loop = loop
         self._send = send
         self._rate = LINK_SHARE * link_rate
-        self._allowance: float = BURST_BYTES
+        self._burst_bytes = max(float(BURST_BYTES), 2.0 * MIN_WAIT_MS * self._rate)
+        self._allowance = self._burst_bytes
         self._updated_at: Millis = loop.clock.now()
         self._queues: tuple[deque[_Queued], ...] = tuple(deque() for _ in Priority)
         self._queued_bytes = [0 for _ in Priority]
@@ -85,12 +87,12 @@
     def _update_allowance(self) -> None:
         now = self._loop.clock.now()
         gained = (now - self._updated_at) * self._rate
-        self._allowance = min(BURST_BYTES, self._allowance + gained)
+        self._allowance = min(self._burst_bytes, self._allowance + gained)
         self._updated_at = now
 
     def _fits(self, data: bytes) -> bool:
         """Whether a datagram may be sent; one larger than a burst needs a full one."""
-        return self._allowance >= min(len(data), BURST_BYTES)
+        return self._allowance >= min(len(data), self._burst_bytes)
 
     def _send_now(self, data: bytes, address: Address) -> None:
         self._allowance -= len(data)
@@ -107,7 +109,7 @@
             return
         head = next((queue[0] for queue in self._queues if queue), None)
         if head is not None:
-            missing = min(len(head.data), BURST_BYTES) - self._allowance
+            missing = min(len(head.data), self._burst_bytes) - self._allowance
             wait = max(MIN_WAIT_MS, missing / self._rate)
             self._timer = self._loop.after(wait, self._send_queued)
 
--- a/src/galenaferry/peers/tests/test_pacing.py
+++ b/src/galenaferry/peers/tests/test_pacing.py
@@ -104,3 +104,12 @@
     bench.clock.advance(10_000.0)
     bench.loop.poll(0.0)
     assert sum(len(data) for _, data in bench.sent) - before <= BURST_BYTES
+
+
+def test_a_fast_link_carries_its_share():
+    bench = PacerBench(link_rate=25_000.0)
+    for _ in range(500):
+        bench.pacer.send(bytes(4_000), ADDRESS)
+    bench.run_for(200.0)
+    assert len(bench.sent) == 500
+    assert bench.pacer.dropped_count == 0
