Take an instance for reached only when it answers

Cause: a connection that is accepted counted as proof that an instance is reached. The check found no cut, or ended it after a second, and requests went on to be sent directly. Failed attempts that had an open connection called for no check at all. Class: accepted isn't reached.

Change: the check asks for the health path of the instance's service, and any response proves that it is reached. Every failure calls for a check where no instance has answered for a second.

Ruled out: to end a cut by callers' requests (a VM with few of them finds out late, each costs a caller its time). An overload of all instances for a second, whose health checks wait for slots, could be taken for a cut; sheds and refusals count as answers, so that takes queues without any.

--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -134,6 +134,7 @@
             random,
             RelayAuthentication(peer_key, adapter.headers.request_id),
             lambda count: self._heartbeats.send_to_some(count),
+            lambda service: self.routes.health_path(service),
         )
         self.crashes = CrashProtection(
             loop,
--- a/src/galenaferry/node/relaying.py
+++ b/src/galenaferry/node/relaying.py
@@ -37,6 +37,8 @@
     authentication : RelayAuthentication
     send_heartbeats : callable
         Sends a heartbeat to a number of random members.
+    health_path : callable
+        Returns the path of a service's health checks, empty if it is not known.
     """
 
     def __init__(
@@ -47,13 +49,19 @@
         random: Random,
         authentication: RelayAuthentication,
         send_heartbeats: Callable[[int], None],
+        health_path: Callable[[str], str],
     ) -> None:
         self._loop = loop
         self._members = members
         self._send_heartbeats = send_heartbeats
         self.authentication = authentication
         self.backends = RelayingBackends(
-            loop, placement, random, self._relay_vms, self._on_reach_changed
+            loop,
+            placement,
+            random,
+            self._relay_vms,
+            self._on_reach_changed,
+            health_path,
         )
         self._listener: RequestsComponent | None = None
 
--- a/src/galenaferry/relay/backends.py
+++ b/src/galenaferry/relay/backends.py
@@ -18,9 +18,9 @@
 from ..configuration.policy import Policy
 from ..framing.messages import RequestHead
 from ..logs import logger
-from ..network.connect_check import ConnectCheck
 from ..network.loop import Loop
 from ..placing.component import ABANDON_AFTER_FACTOR, Placement
+from .answer_check import AnswerCheck, find_answer
 from .origin import Origin, ReadOrigin, RelayAuthentication
 from .reach import CHECKED_INSTANCES, MIN_CHECK_INTERVAL_MS, OwnReach
 from .relay_vms import RelayVm, RelayVms
@@ -55,6 +55,8 @@
         Returns the other VMs that take requests and say that they reach instances.
     on_reach_changed : callable
         Called with whether this VM is cut off from all instances.
+    health_path : callable
+        Returns the path of a service's health checks, empty if it is not known.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         random: Random,
         relay_vms: Callable[[], Iterable[RelayVm]],
         on_reach_changed: Callable[[bool], None],
+        health_path: Callable[[str], str],
     ) -> None:
+        self._health_path = health_path
         self._loop = loop
         self._placement = placement
         self._random = random
@@ -204,8 +208,7 @@
         elif evidence in DISCOUNTED_EVIDENCE:
             if evidence is Evidence.LINK:
                 self._on_unreachable(address, now)
-            if evidence in LINK_EVIDENCE:
-                self._check_if_needed(True, now)
+            self._check_if_needed(evidence in LINK_EVIDENCE, now)
         observation = service, address, route, target, evidence, latency
         if evidence not in DISCOUNTED_EVIDENCE:
             self._placement.observe(*observation)
@@ -284,7 +287,7 @@
             self._check()
 
     def _check(self) -> None:
-        """Connect to a few instances to see whether this VM reaches any."""
+        """Ask a few instances for an answer to see whether this VM reaches any."""
         instances = [i for rows in self._placement.by_service.values() for i in rows]
         count = min(CHECKED_INSTANCES, len(instances))
         if not count:
@@ -293,23 +296,16 @@
             return
         self._is_checking = True
         self._reach.on_check_started(self._loop.clock.now())
-        first, *others = self._random.sample(instances, count)
-        results: list[bool] = []
+        checks = [
+            AnswerCheck(i.address, self._health_path(i.service))
+            for i in self._random.sample(instances, count)
+        ]
+        find_answer(self._loop, checks, self._on_checked)
 
-        def finish(is_accepted: bool) -> None:
-            results.append(is_accepted)
-            if (is_accepted and len(results) == 1) or len(results) == count:
-                self._on_checked(sum(results))
-            elif len(results) == 1:
-                for instance in others:
-                    ConnectCheck(self._loop, instance.address, finish)
-
-        ConnectCheck(self._loop, first.address, finish)
-
-    def _on_checked(self, accepted: int) -> None:
+    def _on_checked(self, is_answered: bool) -> None:
         self._is_checking = False
         now = self._loop.clock.now()
-        if self._reach.on_checked(accepted, now):
+        if self._reach.on_checked(is_answered, now):
             if self.is_cut_off:
                 log.warning("this VM reaches no instance; other VMs take its requests")
             else:
--- a/src/galenaferry/relay/reach.py
+++ b/src/galenaferry/relay/reach.py
@@ -1,9 +1,9 @@
 """Decides whether this VM reaches the instances, without network or clock.
 
-A failure at one instance says little: the instance may be down. It makes the VM connect
-to another one, and if that fails to many, of all services. If none accepts, the VM's
-own links are cut. Later checks notice the end of the cut; connections to instances are
-then built up again over some time.
+A failure at one instance says little: the instance may be down. It makes the VM ask
+another one for an answer, and if that fails many, of all services. If none answers, the
+VM's own links are cut. Later checks notice the end of the cut; connections to instances
+are then built up again over some time.
 """
 
 from typing import Final
@@ -11,9 +11,8 @@
 from ..clock import Millis
 
 CHECKED_INSTANCES: Final = 16
-"""Instances, chosen at random among all services, that one check connects to if the
-first one does not accept. Some of them live, also while most instances of a service are
-down."""
+"""Instances, chosen at random among all services, that one check asks if the first one
+does not answer. Some of them live, also while most instances of a service are down."""
 MIN_CHECK_INTERVAL_MS: Final[Millis] = 500.0
 CONTACT_MS: Final[Millis] = 1_000.0
 """Time after an answer in which failures other than of connecting need no check, and in
@@ -53,10 +52,10 @@
         """Handle the start of a check."""
         self._check_started_at = now
 
-    def on_checked(self, accepted: int, now: Millis) -> bool:
-        """Handle how many instances accepted; return whether ``is_cut_off`` changed."""
+    def on_checked(self, is_answered: bool, now: Millis) -> bool:
+        """Handle whether an instance answered; return whether the state changed."""
         was_cut_off = self.is_cut_off
-        if not accepted:
+        if not is_answered:
             self.is_cut_off = True
             self._successful_checks = 0
         elif was_cut_off:
--- a/src/galenaferry/relay/tests/test_cut_fleet.py
+++ b/src/galenaferry/relay/tests/test_cut_fleet.py
@@ -6,7 +6,7 @@
 from galenaferry.attempts.outcomes import evaluate_outcome
 from galenaferry.backends import connection
 from galenaferry.backends.messages import Instance
-from galenaferry.network import connect_check
+from galenaferry.network import connect_check, fetch
 from galenaferry.tests.fleet import Fleet
 from galenaferry.tests.simulated_instances import HOST
 
@@ -21,7 +21,7 @@
 def make_fleet(monkeypatch):
     def make(**parts):
         fleet = Fleet(**parts)
-        for module in (connection, connect_check):
+        for module in (connection, connect_check, fetch):
             monkeypatch.setattr(module, "connect", fleet.connect)
         return fleet
 
@@ -72,6 +72,16 @@
     assert not breaks_promise(requests, cut)
 
 
+@pytest.mark.parametrize("how", ["accept", "reset on data"])
+@pytest.mark.parametrize("cut", [{0, 1}, {0, 1, 2, 3}])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_callers_of_vms_whose_connections_are_accepted_and_not_answered_are_served(
+    make_fleet, how, cut, seed
+):
+    requests = run_cut_off(make_fleet(seed=seed), cut, how)
+    assert not breaks_promise(requests, cut)
+
+
 @pytest.mark.parametrize("how", ["refuse", "hang"])
 def test_callers_of_a_zone_that_reaches_no_instance_are_served(make_fleet, how):
     fleet = make_fleet(vms=9)
@@ -155,6 +165,24 @@
     assert fleet.vms[0].backends.relayed_count == relayed
 
 
+@pytest.mark.parametrize("how", ["accept", "reset on data"])
+def test_a_vm_does_not_return_before_instances_answer(make_fleet, how):
+    fleet = run_cut(make_fleet, how)
+    assert fleet.vms[0].backends.is_cut_off
+    for _ in range(20):
+        fleet.run(0.2, *mixed_load(fleet, []))
+        assert fleet.vms[0].backends.is_cut_off
+    fleet.heal(0)
+    fleet.run(4.0, *mixed_load(fleet, []))
+    assert not fleet.vms[0].backends.is_cut_off
+
+
+def test_instances_of_one_service_that_do_not_answer_are_no_cut(make_fleet):
+    fleet = make_fleet(work_ms=20_000.0, slots=1)
+    fleet.run(8.0, *mixed_load(fleet, []))
+    assert not any(vm.backends.is_cut_off for vm in fleet.vms)
+
+
 def test_a_hop_that_breaks_in_the_midst_is_not_said_not_to_have_run(make_fleet):
     fleet = run_cut(make_fleet, work_ms=400.0)
     requests = [
--- a/src/galenaferry/relay/tests/test_reach.py
+++ b/src/galenaferry/relay/tests/test_reach.py
@@ -38,7 +38,7 @@
 
 def make_cut_reach():
     reach = OwnReach()
-    reach.on_checked(0, 1_000.0)
+    reach.on_checked(False, 1_000.0)
     return reach
 
 
@@ -57,9 +57,9 @@
     assert reach.needs_check(False, 1_001.0 + CONTACT_MS)
 
 
-def test_one_instance_that_accepts_proves_the_links():
+def test_one_instance_that_answers_proves_the_links():
     reach = OwnReach()
-    assert not reach.on_checked(1, 0.0)
+    assert not reach.on_checked(True, 0.0)
     assert not reach.is_cut_off
 
 
@@ -67,11 +67,11 @@
     reach = make_cut_reach()
     assert reach.is_cut_off
     for number in range(CHECKS_TO_RECOVER - 1):
-        assert not reach.on_checked(1, 2_000.0 + number)
-    assert not reach.on_checked(0, 2_100.0)
+        assert not reach.on_checked(True, 2_000.0 + number)
+    assert not reach.on_checked(False, 2_100.0)
     for number in range(CHECKS_TO_RECOVER - 1):
-        assert not reach.on_checked(1, 2_200.0 + number)
-    assert reach.on_checked(1, 3_000.0)
+        assert not reach.on_checked(True, 2_200.0 + number)
+    assert reach.on_checked(True, 3_000.0)
     assert not reach.is_cut_off
 
 
@@ -79,7 +79,7 @@
     reach = make_cut_reach()
     assert reach.direct_share(1_500.0) == 0.0
     for _ in range(CHECKS_TO_RECOVER):
-        reach.on_checked(1, 2_000.0)
+        reach.on_checked(True, 2_000.0)
     shares = [
         reach.direct_share(2_000.0 + part * RETURN_MS) for part in (0.0, 0.5, 1.0)
     ]
--- a/src/galenaferry/routing/hosts.py
+++ b/src/galenaferry/routing/hosts.py
@@ -57,7 +57,8 @@
     """Settings of a service in the configuration.
 
     ``connections_per_instance`` is an instance's limit for all VMs together, and
-    ``health_path`` the path of the instances' health checks, which no decision uses.
+    ``health_path`` the path of the instances' health checks, which show whether a VM
+    reaches any instance.
     """
 
     name: str
@@ -129,6 +130,13 @@
         limits = self._document.limits
         return limits if self._is_current() else limits._replace(is_known=False)
 
+    def health_path(self, service: str) -> str:
+        """Return the path of a service's health checks, empty if it is not known."""
+        if self._document is None:
+            return ""
+        settings = self._document.service_by_name.get(service)
+        return "" if settings is None else settings.health_path
+
     def replace_if_newer(self, document: RoutingDocument) -> bool:
         """Apply a newer version; return False if ``document`` is not newer."""
         if document.version <= self.version:
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -209,6 +209,7 @@
             Random(number),
             self._relay_vms,
             self._on_reach_changed,
+            lambda service: self.routes.health_path(service),
         )
         self.routes = HostRouteTable(20, Random(number))
         self.routes.replace_if_newer(fleet.document)
@@ -323,7 +324,8 @@
 
         ``refuse`` refuses its new connections, ``reset`` ends its open ones as well,
         ``close`` ends them all, new ones as soon as they are open, and with ``hang``
-        none of them answers.
+        none of them answers. With ``accept`` new ones are accepted and none answers,
+        with ``reset on data`` they end at the first bytes.
         """
         for server in self.servers:
             address = server.seen_by(number).address
@@ -336,6 +338,12 @@
                 case "close":
                     server.closing_for_vms.add(number)
                     server.reset(number)
+                case "accept":
+                    server.mute(number)
+                    server.silent_to_vms.add(number)
+                case "reset on data":
+                    server.resetting_for_vms.add(number)
+                    server.reset(number)
                 case "hang":
                     server.mute(number)
                     self.hung_addresses.add(address)
--- a/src/galenaferry/tests/simulated_instances.py
+++ b/src/galenaferry/tests/simulated_instances.py
@@ -14,6 +14,7 @@
 
 ZONES = ("north", "south", "west")
 HOST = "127.0.0.1"
+HEALTH_PATH = b"/health"
 
 
 class Arrival(NamedTuple):
@@ -42,6 +43,8 @@
         self.queue = deque()
         self.connections = set()
         self.closing_for_vms = set()
+        self.silent_to_vms = set()
+        self.resetting_for_vms = set()
         self.listener_by_vm = {}
         self.address_by_vm = {}
         self.reserved_by_vm = {}
@@ -79,8 +82,9 @@
                 connection.stream.pause()
 
     def accept_again(self, vm_number):
-        """End ``refuse``, and the closing of new connections."""
-        self.closing_for_vms.discard(vm_number)
+        """End ``refuse``, and what befalls new connections."""
+        for vms in (self.closing_for_vms, self.silent_to_vms, self.resetting_for_vms):
+            vms.discard(vm_number)
         if not self.listener_by_vm[vm_number].is_open:
             self.reserved_by_vm.pop(vm_number).close()
             address = parse_address(self.address_by_vm[vm_number])
@@ -132,7 +136,11 @@
         if vm_number in self.closing_for_vms:
             sock.close()
             return
-        self.connections.add(InstanceConnection(self, sock, vm_number))
+        connection = InstanceConnection(self, sock, vm_number)
+        self.connections.add(connection)
+        if vm_number in self.silent_to_vms:
+            connection.is_mute = True
+            connection.stream.pause()
 
 
 def _reserve(address):
@@ -179,6 +187,9 @@
 
     def on_complete(self):
         server = self.server
+        if self.head.target == HEALTH_PATH:
+            self.stream.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            return
         expected = self.head.header(HEADER_NAMES.expected_instance)
         if expected != server.instance.id.encode():
             self.respond(b"421 Misdirected Request", b"")
@@ -192,6 +203,10 @@
         return
 
     def on_data(self, data):
+        if self.vm_number in self.server.resetting_for_vms:
+            self.server.connections.discard(self)
+            self.stream.close()
+            return
         self.reader.feed(data)
 
     def on_drained(self):
