Let the soak have slow and fast links, and odd entries among those of the instances

VMs have links of 10 and 200 Mbit/s by turns, so that readers follow the links and datagrams are paced, and the bound for changes of the configuration.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,13 +16,18 @@
 bounds = [
   "drainTimeoutMs=2000", "gracePeriodS=6", "floorShare=0.7",
   "retryBudgetRatio=0.2", "retryBudgetSlack=60", "budgetWindowS=10",
+  "configApplyMs=2000",
 ]
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
 [platform]
 address = "{store}"
+[limits]
+linkMbps = {link_mbps}
 """
+LINK_MBPS = (10, 10, 200)
+"""Bandwidths that the VMs have by turns."""
 
 
 class Vm:
@@ -48,6 +53,7 @@
                 front=port,
                 ready=port + 1,
                 store=store_address,
+                link_mbps=LINK_MBPS[number % len(LINK_MBPS)],
             )
         )
         self.checkout = Path()
--- a/soak/run.py
+++ b/soak/run.py
@@ -51,6 +51,15 @@
 STORE_FAULTS = ("refuse", "silent", "lose")
 
 
+ODD_ENTRIES = (
+    b"[" * 20_000,
+    b'{"info": ' * 2_000,
+    b'{"address": "127.0.0.1:99709", "info": {}, "status": {}}',
+    b"\xff\xfe",
+)
+"""Rows of another writer in the table of the instances."""
+
+
 class Soak:
     """One seeded run of a fleet with a store, instances and callers.
 
@@ -102,6 +111,8 @@
         Before the checks it waits for stopped VMs to start and pending requests to end.
         """
         self._run_loop_for(WARM_UP_MS)
+        for number, text in enumerate(ODD_ENTRIES):
+            self.store.put_bytes("servers", f"odd-{number}", text)
         ends_at = self.loop.clock.now() + seconds * 1000.0
         next_fault = self.loop.clock.now()
         while self.loop.clock.now() < ends_at:
--- a/soak/store.py
+++ b/soak/store.py
@@ -38,9 +38,14 @@
         serve(loop, address, self._on_request)
 
     def put(self, table: str, key: str, value: object) -> None:
-        """Write a row, or remove it if ``value`` is None, and wake waiting feeds."""
+        """Write a row as JSON, or remove it if ``value`` is None."""
+        self.put_bytes(
+            table, key, None if value is None else json.dumps(value).encode()
+        )
+
+    def put_bytes(self, table: str, key: str, text: bytes | None) -> None:
+        """Write a row, or remove it if ``text`` is None, and wake waiting feeds."""
         self.version += 1
-        text = None if value is None else json.dumps(value).encode()
         self.value_by_row_key[table, key] = text
         self.version_by_row_key[table, key] = self.version
         waiting_feeds, self._waiting_feeds = self._waiting_feeds, []
