--- a/src/galenaferry/requests/attempt_recording.py
+++ b/src/galenaferry/requests/attempt_recording.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from ..attempts.messages import Evidence, OutcomeEvaluation
+from ..attempts.messages import AttemptOutcome, Evidence, OutcomeEvaluation
+from ..attempts.outcomes import is_timeout
 from ..backends.messages import CapacityShare, Instance
 from ..clock import Millis
 from ..routing.table import Route
@@ -24,23 +25,29 @@
     context: RequestContext,
     sent: SentAttempt,
     admission: Admission,
+    outcome: AttemptOutcome,
     evaluation: OutcomeEvaluation,
 ) -> None:
     """Record what the outcome of an attempt shows about its instance."""
     pool = context.directory.pool(sent.instance)
     borrowing = context.directory.borrowing_policy(sent.route.service)
     now = context.loop.clock.now()
-    if evaluation.evidence is Evidence.SHED:
+    evidence = evaluation.evidence
+    if is_timeout(outcome) and now - sent.started_at < sent.route.target_latency:
+        # The instance had less time than the target latency of the route, so that the
+        # timeout is no evidence against it.
+        evidence = Evidence.NONE
+    if evidence is Evidence.SHED:
         context.counters.shed += 1
         admission.on_shed(now)
         pool.on_shed(admission.is_borrowed, context.random)
         if admission.is_borrowed:
             borrowing.on_shed()
-    elif evaluation.evidence is Evidence.SUCCESS:
+    elif evidence is Evidence.SUCCESS:
         pool.on_success(sent.share)
         if admission.is_borrowed:
             borrowing.on_success()
-    elif evaluation.evidence is Evidence.CONNECTION:
+    elif evidence is Evidence.CONNECTION:
         # Whatever silently dropped one connection may have dropped the idle ones too.
         pool.close_all_idle()
     context.observer.observe(
@@ -48,6 +55,6 @@
         sent.instance.address,
         sent.route.name,
         sent.target,
-        evaluation.evidence,
+        evidence,
         now - sent.started_at,
     )
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -13,11 +13,7 @@
     OutcomeEvaluation,
     TimedOut,
 )
-from ..attempts.outcomes import (
-    evaluate_outcome,
-    is_timeout,
-    merge_execution,
-)
+from ..attempts.outcomes import evaluate_outcome, merge_execution
 from ..backends.choice import Busy, Chosen, NoInstance
 from ..backends.messages import CapacityShare, Instance, SelectionCriteria
 from ..claims.handle import ClaimHandle
@@ -482,17 +478,14 @@
         """
         route = self._route
         assert route is not None
-        attempts = self._count_attempts() + pending
+        is_shed_counted = self._context.settings.is_shed_counted_as_attempt
+        tried_count = len(self._tried_addresses)
+        attempts = self._summary.sent_count if is_shed_counted else tried_count
+        attempts += pending
         return not self.is_over and acquire_retry(
             self._context, route, self.body, self._admission, attempts, evaluation
         )
 
-    def _count_attempts(self) -> int:
-        """Return the number of attempts that count toward the route's limit."""
-        if self._context.settings.is_shed_counted_as_attempt:
-            return self._summary.sent_count
-        return len(self._tried_addresses)
-
     def _retry(self) -> None:
         if not self.is_over:
             self._context.counters.retried += 1
@@ -514,13 +507,10 @@
         if isinstance(outcome, LOST_WHILE_RUNNING):
             self._summary.fingerprint = self._gate.fingerprint
         tell_gate(self._gate, instance, outcome)
-        if is_timeout(outcome) and took < route.target_latency:
-            # The instance had less time than the target latency of the route, so that
-            # the timeout is no evidence against it.
-            evaluation = evaluation._replace(evidence=Evidence.NONE)
         target = self.head.target
         sent = SentAttempt(route, instance, self._share, target, started_at)
-        record_attempt_outcome(self._context, sent, self._admission, evaluation)
+        admission = self._admission
+        record_attempt_outcome(self._context, sent, admission, outcome, evaluation)
 
     def _forward_head(self, head: ResponseHead, evaluation: OutcomeEvaluation) -> None:
         """Start the caller's answer with the response head, or buffer it."""
