Refuse requests during a graceful shutdown that can't end before the exit

Requests that came late in the grace of a VM, on connections that had just been accepted, or whose bodies ended late, were passed on to an instance and cut without an answer when the process exited, bookings among them (a planned stop, calm otherwise).

Cause: from SIGTERM on a request was taken as at any other time; nothing compared the time that it needs with the time until the process exits (5.3 of 6 s). Every way to an instance had it: first requests, late bodies, waiting requests, attempts after an overdue one, requests of other VMs.

Change: drain/admission.py decides from the schedule of the shutdown and the response times of the route that the VM has seen whether a request that starts now ends before the exit. Before each attempt it is asked; in addition every 50 ms for requests that no instance works on yet. One that is too late is refused at once with 503, not run, Retry-After 0.05 (502 where a part of its body has been sent). During the shutdown a body is received before it is passed on, up to 64 KiB, so that the refusal is true. Instances are given no more time than the process has. An overdue attempt is abandoned only for one that is sure to end. The last line of the process names the requests that it cut, and each has a line of its own, which explain shows.

--- a/src/galenaferry/drain/component.py
+++ b/src/galenaferry/drain/component.py
@@ -8,10 +8,13 @@
 from ..clock import Millis
 from ..logs import logger
 from ..network.loop import Loop
+from .admission import ShutdownSchedule
 from .decisions import FINISH_TIMEOUT_MS, Announce, Exit, Finish, Serve, next_step
 
 CHECK_INTERVAL_MS: Final = 50.0
 """Interval between checks for the next step of a shutdown."""
+MAX_LOGGED_REQUESTS: Final = 20
+"""Requests that the last line names; each of them has a line of its own as well."""
 
 log = logger("drain")
 
@@ -33,6 +36,11 @@
         Called once when ``balancer_wait`` is over.
     finish_timeout : float
         Time in milliseconds for requests in flight after ``balancer_wait``.
+    on_check : callable
+        Called at each check during the shutdown.
+    cut_unanswered : callable
+        Called once before the process exits; ends the requests that are still in
+        progress and returns their ids.
     """
 
     channel = "drain"
@@ -45,8 +53,12 @@
         on_announce: Callable[[], None],
         on_finish: Callable[[], None],
         finish_timeout: Millis = FINISH_TIMEOUT_MS,
+        on_check: Callable[[], None] = lambda: None,
+        cut_unanswered: Callable[[], list[str]] = list,
     ) -> None:
         super().__init__()
+        self._on_check = on_check
+        self._cut_unanswered = cut_unanswered
         self._finish_timeout = finish_timeout
         self._loop = loop
         self._balancer_wait = balancer_wait
@@ -61,6 +73,13 @@
         """Whether a shutdown was requested."""
         return self._requested_at is not None
 
+    @property
+    def schedule(self) -> ShutdownSchedule:
+        """Times of the shutdown, which must have been requested."""
+        assert self._requested_at is not None
+        closes_at = self._requested_at + self._balancer_wait
+        return ShutdownSchedule(closes_at, closes_at + self._finish_timeout)
+
     def request_shutdown(self) -> None:
         """Start the graceful shutdown; further calls have no effect."""
         if self._requested_at is None:
@@ -75,6 +94,7 @@
         self.request_shutdown()
 
     def _check(self) -> None:
+        self._on_check()
         step = next_step(
             self._requested_at,
             self._balancer_wait,
@@ -89,7 +109,13 @@
                 self._begin_finish()
             case Exit():
                 self._begin_finish()
-                log.info("graceful shutdown complete", in_flight=self._in_flight())
+                in_flight, cut = self._in_flight(), self._cut_unanswered()
+                log.info(
+                    "graceful shutdown complete",
+                    in_flight=in_flight,
+                    cut=len(cut),
+                    cut_requests=cut[:MAX_LOGGED_REQUESTS],
+                )
                 self.root.stop()
 
     def _begin_finish(self) -> None:
--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -18,6 +18,7 @@
 from .configuration.component import ConfigurationComponent
 from .configuration.impact import LiveFleet
 from .discovery.messages import TableNotice
+from .drain.admission import UNKNOWN_TIMES
 from .drain.component import DrainComponent
 from .findings import format_findings
 from .health.component import HealthComponent
@@ -32,6 +33,7 @@
 from .peers.component import PeersComponent
 from .requests.component import RequestsComponent
 from .requests.context import RequestContext
+from .requests.shutdown import ShutdownPolicy
 from .routing.table import RouteTable
 from .settings import Settings, read_settings
 from .spreading.messages import GossipMessage, LogName
@@ -120,6 +122,8 @@
             lambda: self.requests.unfinished_count,
             self._on_drain_announced,
             self.requests.stop_accepting,
+            on_check=self.requests.refuse_late_starts,
+            cut_unanswered=self.requests.cut_unanswered,
         ).register(self)
         self._admin = AdminComponent(
             settings.admin, settings.admin_token, self._admin_sources()
@@ -310,7 +314,10 @@
         self.directory.invalidate_candidates()
 
     def _on_drain_announced(self) -> None:
-        self.context.is_stopping = True
+        schedule = self.drain.schedule
+        self.context.begin_shutdown(
+            ShutdownPolicy(self.loop.clock, schedule, lambda *_: UNKNOWN_TIMES)
+        )
         self.membership.leave()
 
     def _build_route_table(self) -> RouteTable:
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -29,6 +29,7 @@
 from ..relay.origin import RelayAuthentication
 from ..requests.component import RequestsComponent
 from ..requests.context import RequestContext
+from ..requests.shutdown import ShutdownPolicy
 from ..requests.startup import StartupQueue
 from ..requests.summary import RequestSummary
 from ..routing.hosts import HostRouteTable
@@ -210,6 +211,8 @@
             self._on_drain_announced,
             self._stop_accepting,
             settings.grace_period - BALANCER_DETECTION_MS - STOP_MARGIN_MS,
+            self._refuse_late_starts,
+            self._cut_unanswered,
         ).register(self)
         self._has_been_loaded = False
         self._metrics = self._make_metrics()
@@ -401,8 +404,18 @@
         self.requests.stop_accepting()
         self._relaying.stop_accepting()
 
+    def _refuse_late_starts(self) -> None:
+        self.requests.refuse_late_starts()
+        self._relaying.refuse_late_starts()
+
+    def _cut_unanswered(self) -> list[str]:
+        return self.requests.cut_unanswered() + self._relaying.cut_unanswered()
+
     def _on_drain_announced(self) -> None:
-        self.context.is_stopping = True
+        clock, placement = self.loop.clock, self.placement
+        self.context.begin_shutdown(
+            ShutdownPolicy(clock, self.drain.schedule, placement.response_times)
+        )
         self.table.me = self.table.me._replace(is_leaving=True)
         self._heartbeats.send_heartbeats()
 
--- a/src/galenaferry/node/relaying.py
+++ b/src/galenaferry/node/relaying.py
@@ -85,6 +85,15 @@
         if self._listener is not None:
             self._listener.stop_accepting()
 
+    def refuse_late_starts(self) -> None:
+        """Refuse requests of other VMs that can't end before the process exits."""
+        if self._listener is not None:
+            self._listener.refuse_late_starts()
+
+    def cut_unanswered(self) -> list[str]:
+        """End the requests of other VMs; return their ids."""
+        return [] if self._listener is None else self._listener.cut_unanswered()
+
     def _relay_vms(self) -> Iterator[RelayVm]:
         for member in self._members.live_in_region(self._loop.clock.now()):
             is_me = member.address == self._members.me.address
--- a/src/galenaferry/operator/tests/test_explain.py
+++ b/src/galenaferry/operator/tests/test_explain.py
@@ -148,3 +148,24 @@
         capsys.readouterr().err
         == "galenaferry: no log line has the request id nobody\n"
     )
+
+
+def test_a_request_that_was_cut_by_a_shutdown_is_explained():
+    """Guards against requests that end with the process and of which nothing is told."""
+    reason = "the process exited before the answer"
+    lines = [
+        line("vm-1", 18.0, channel="drain", message="graceful shutdown requested"),
+        request("vm-1", 23.2, "cut", 0, reason=reason),
+        line(
+            "vm-1",
+            23.3,
+            channel="drain",
+            message="graceful shutdown complete",
+            cut=1,
+            cut_requests=["cut"],
+        ),
+    ]
+    text = render_explanation(explain("cut", read_lines(lines)))
+    assert f"status 0, unknown, 12 ms, {reason}" in text
+    assert "graceful shutdown requested" in text
+    assert "graceful shutdown complete cut=1 cut_requests=['cut']" in text
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -16,6 +16,7 @@
 from ..backends.pool import InstancePool
 from ..clock import Millis
 from ..configuration.policy import Policy
+from ..drain.admission import ResponseTimes
 from ..health.messages import InstanceOutcome, instance_key
 from ..health.posteriors import Outcome, Posterior, Posteriors
 from ..logs import logger
@@ -368,6 +369,10 @@
         """Return the time in ms after which a response is overdue, 0 if unknown."""
         return self._routes.overdue_after(route, target_latency)
 
+    def response_times(self, route: str, target_latency: Millis) -> ResponseTimes:
+        """Return the times that responses on a route take, in milliseconds."""
+        return self._routes.response_times(route, target_latency)
+
     def on_overdue(self, instance: Instance) -> None:
         """Count an overdue response as evidence that the instance is sick."""
         now = self._loop.clock.now()
--- a/src/galenaferry/placing/route_statistics.py
+++ b/src/galenaferry/placing/route_statistics.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from ..clock import Millis
+from ..drain.admission import ResponseTimes
 from .latency import LatencyTracker
 
 SLOW_FACTOR: Final = 2.0
@@ -28,6 +29,11 @@
         """
         return SLOW_FACTOR * self._latency_tracker(route).p90 or target_latency
 
+    def response_times(self, route: str, target_latency: Millis) -> ResponseTimes:
+        """Return the times that responses take, for a graceful shutdown."""
+        p90 = self._latency_tracker(route).p90
+        return ResponseTimes(p90 or target_latency, SLOW_FACTOR * p90 or None)
+
     def record_latency(self, route: str, latency: Millis) -> bool:
         """Add the latency of a success; return whether it was overdue."""
         tracker = self._latency_tracker(route)
--- a/src/galenaferry/requests/attempt_headers.py
+++ b/src/galenaferry/requests/attempt_headers.py
@@ -32,6 +32,8 @@
         Number of the attempt, from 1.
     """
     names = context.settings.names
+    if context.shutdown is not None:
+        remaining = context.shutdown.limit_time(remaining)
     added = [id_header, (names.time_left, b"%d" % remaining)]
     if instance.is_relay:
         assert context.relay_authentication is not None
--- a/src/galenaferry/requests/attempt_recording.py
+++ b/src/galenaferry/requests/attempt_recording.py
@@ -33,9 +33,10 @@
     borrowing = context.directory.borrowing_policy(sent.route.service)
     now = context.loop.clock.now()
     evidence = evaluation.evidence
-    if is_timeout(outcome) and now - sent.started_at < sent.route.target_latency:
-        # The instance had less time than the target latency of the route, so that the
-        # timeout is no evidence against it.
+    has_little_time = now - sent.started_at < sent.route.target_latency
+    if is_timeout(outcome) and (has_little_time or context.shutdown is not None):
+        # The instance had less time than the target latency of the route, or than the
+        # request needs, so that the timeout is no evidence against it.
         evidence = Evidence.NONE
     if evidence is Evidence.SHED:
         context.counters.shed += 1
--- a/src/galenaferry/requests/body.py
+++ b/src/galenaferry/requests/body.py
@@ -2,14 +2,16 @@
 
 import sys
 from collections.abc import Callable
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from ..crashes.fingerprint import body_digest
 from ..framing.limits import CallerLimits
 from ..framing.messages import RequestHead
 from ..relay.origin import Origin
 from ..routing.table import Route
-from .context import Routes
+
+if TYPE_CHECKING:
+    from .context import Routes
 
 REPLAY_LIMIT_BYTES: Final = 65_536
 """Largest body that is kept after sending, for another attempt."""
@@ -79,7 +81,7 @@
 
 
 def is_body_too_large(
-    routes: Routes, route: Route | None, head: RequestHead, body: RequestBody
+    routes: "Routes", route: Route | None, head: RequestHead, body: RequestBody
 ) -> bool:
     """Whether more of a body has arrived than its route permits.
 
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -139,6 +139,18 @@
         """Whether a request has not been answered completely."""
         return bool(self._exchanges)
 
+    def refuse_late_starts(self) -> None:
+        """Refuse requests that can't end before the process exits."""
+        for exchange in list(self._exchanges):
+            exchange.refuse_if_too_late()
+
+    def cut_exchanges(self, reason: str) -> list[str]:
+        """End all requests without an answer; return their ids."""
+        exchanges, self._exchanges = self._exchanges, deque()
+        for exchange in exchanges:
+            exchange.cut(reason)
+        return [exchange.request_id for exchange in exchanges]
+
     def close(self) -> None:
         """Close the connection, so that its exchanges lose their caller."""
         if self._stream.is_open:
--- a/src/galenaferry/requests/component.py
+++ b/src/galenaferry/requests/component.py
@@ -18,6 +18,8 @@
 """Time allowed to a caller for closing its connection after its last answer: a few
 round trips between the most distant zones and one lost packet."""
 
+CUT_REASON: Final = "the process exited before the answer"
+
 
 class RequestsComponent(BaseComponent):
     """Caller connections of this VM.
@@ -98,6 +100,16 @@
                 continue
             caller.close()
 
+    def refuse_late_starts(self) -> None:
+        """Refuse requests that can't end before the process exits."""
+        for caller in list(self._callers):
+            caller.refuse_late_starts()
+
+    def cut_unanswered(self) -> list[str]:
+        """End the requests that are still in progress; return their ids."""
+        cut = [caller.cut_exchanges(CUT_REASON) for caller in self._callers]
+        return [request_id for ids in cut for request_id in ids]
+
     def _accept(self, sock: socket.socket) -> None:
         connection = CallerConnection(
             self.context,
--- a/src/galenaferry/requests/context.py
+++ b/src/galenaferry/requests/context.py
@@ -20,6 +20,7 @@
 from .local_answers import RETRY_AFTER_MS
 from .messages import RequestCounters
 from .overdue import OverduePolicy
+from .shutdown import ShutdownPolicy
 from .startup import StartupQueue
 from .summary import RequestSummary
 from .wait_queue import WaitQueue
@@ -110,7 +111,8 @@
     ``overdue_policy`` decides about attempts whose response takes unusually long;
     both are optional. ``crash_guard`` keeps requests that crash instances from more of
     them, if there is one. ``relay_authentication`` is for requests that go by way of
-    other VMs.
+    other VMs. ``shutdown`` limits the requests that are passed on during a graceful
+    shutdown.
     """
 
     loop: Loop
@@ -132,6 +134,12 @@
     on_request_finished: Callable[[RequestSummary], None] = _ignore_summary
     detached: set[Any] = field(default_factory=set)
     is_stopping: bool = False
+    shutdown: ShutdownPolicy | None = None
+
+    def begin_shutdown(self, policy: ShutdownPolicy) -> None:
+        """Answer with ``Connection: close`` and pass on only what can end in time."""
+        self.is_stopping = True
+        self.shutdown = policy
 
     def publish_summary(self, summary: RequestSummary) -> None:
         """Report a finished request to ``on_request_finished``."""
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -44,6 +44,7 @@
 from .overdue import OverdueWatch
 from .queueing import join_wait_queue
 from .retries import acquire_retry, record_request
+from .shutdown import RETRY_ELSEWHERE_MS, SHUTDOWN_REASON, ShutdownCheck
 from .sinks import DISCARDING_SINK, AnswerSink
 from .summary import LOST_WHILE_RUNNING, RequestSummary
 from .wait_queue import Waiter
@@ -83,6 +84,9 @@
         self.body = RequestBody()
         self._origin = origin
         self._gate = open_gate(context, sink, origin, head, self.body)
+        self._shutdown_check = ShutdownCheck(
+            lambda: context.shutdown, self.body, self.on_attempt_sending
+        )
         self.is_over = False
         self._route: Route | None = None
         self._attempt: Attempt | None = None
@@ -105,6 +109,11 @@
     def _attempt_started_at(self) -> Millis:
         return self._attempt.started_at if self._attempt is not None else 0.0
 
+    @property
+    def request_id(self) -> str:
+        """Id of the request, as in the log."""
+        return self._request_id.decode("latin-1")
+
     @property
     def _id_header(self) -> Header:
         return (self._context.settings.names.request_id, self._request_id)
@@ -171,6 +180,7 @@
             refuse_body(self._context.limits(), self.refuse)
             return
         self._gate.on_body()
+        self._shutdown_check.on_body()
         if self._attempt is not None:
             self._attempt.send_body()
         if self.body.unsent_bytes > UNSENT_LIMIT_BYTES:
@@ -180,6 +190,7 @@
         """Handle the end of the request body."""
         self.body.is_complete = True
         self._gate.on_body()
+        self._shutdown_check.on_body()
         if self._attempt is not None:
             self._attempt.send_body()
 
@@ -201,10 +212,31 @@
             self._sink = self._answer.sink = DISCARDING_SINK
             self._context.detached.add(self)
             return
+        self.cut("the caller left")
+
+    def cut(self, reason: str) -> None:
+        """End without an answer."""
         self._abandon_attempt()
-        self._summary.set_outcome(0, "the caller left", self._ran)
+        self._summary.set_outcome(0, reason, self._ran)
         self._close()
 
+    def refuse_if_too_late(self) -> None:
+        """Refuse a request that no instance works on, if it can't end before the exit.
+
+        Called repeatedly during a graceful shutdown.
+        """
+        route, deadline, attempt = self._route, self._deadline, self._attempt
+        if self.is_over or self._answer.is_started or route is None or deadline is None:
+            return
+        is_sent = attempt is not None and not attempt.is_over and attempt.has_sent
+        if is_sent and (self.body.is_complete or self._answer.is_buffering):
+            return
+        if not self._shutdown_check.may_start(route, deadline.expires_at):
+            self._refuse_for_shutdown()
+
+    def _refuse_for_shutdown(self) -> None:
+        self._refuse(503, SHUTDOWN_REASON, RETRY_ELSEWHERE_MS)
+
     def _is_worth_finishing(self) -> bool:
         """Whether a repeat with the same idempotency key could get the answer."""
         attempt = self._attempt
@@ -341,9 +373,16 @@
         self._sink.end_answer()
 
     def _start_attempt(self) -> None:
+        route, deadline = self._route, self._deadline
+        assert route is not None and deadline is not None
+        self._is_waiting = False
+        self._shutdown_check.check(
+            route, deadline.expires_at, self._check_gate, self._refuse_for_shutdown
+        )
+
+    def _check_gate(self) -> None:
         route = self._route
         assert route is not None
-        self._is_waiting = False
         self._gate.check(
             route.service,
             self._choose_instance,
@@ -448,10 +487,14 @@
 
     def _on_unresponsive(self) -> None:
         """Retry at another instance if the request may be repeated."""
-        attempt = self._attempt
+        attempt, route, deadline = self._attempt, self._route, self._deadline
         outcome = TimedOut(is_reused=False)
         evaluation = evaluate_outcome(outcome)
-        if attempt is None or not self._acquire_retry(evaluation, pending=1):
+        if attempt is None or route is None or deadline is None:
+            return
+        if not self._shutdown_check.may_abandon(route, deadline.expires_at):
+            return
+        if not self._acquire_retry(evaluation, pending=1):
             return
         attempt.abandon()
         self._record_attempt(outcome, evaluation)
@@ -476,8 +519,10 @@
 
         ``pending`` is the number of attempts that are not recorded yet.
         """
-        route = self._route
-        assert route is not None
+        route, deadline = self._route, self._deadline
+        assert route is not None and deadline is not None
+        if not self._shutdown_check.may_start(route, deadline.expires_at):
+            return False
         is_shed_counted = self._context.settings.is_shed_counted_as_attempt
         tried_count = len(self._tried_addresses)
         attempts = self._summary.sent_count if is_shed_counted else tried_count
--- a/src/galenaferry/tests/fleet.py
+++ b/src/galenaferry/tests/fleet.py
@@ -28,6 +28,7 @@
 from galenaferry.relay.relay_vms import RelayVm
 from galenaferry.requests.component import RequestsComponent
 from galenaferry.requests.context import RequestContext
+from galenaferry.requests.shutdown import ShutdownPolicy
 from galenaferry.routing.hosts import (
     HostRoute,
     HostRouteTable,
@@ -68,6 +69,7 @@
     max_attempts=9,
     prefixes=(b"read", b"book"),
     limits=None,
+    target_latency=2_000.0,
 ):
     """Return routes to one service, of which only ``/book/`` is not idempotent."""
     routes = tuple(
@@ -79,7 +81,7 @@
             is_idempotent=prefix != b"book",
             max_attempts=max_attempts,
             total_timeout=float(DEADLINE_MS),
-            target_latency=2_000.0,
+            target_latency=target_latency,
             priority=0,
         )
         for prefix in prefixes
@@ -232,10 +234,11 @@
         self.component = RequestsComponent(self.context, (HOST, 0))
         read_origin = self.backends.reader_of_origins(self.authentication)
         self.relay = RequestsComponent(self.context, (HOST, 0), read_origin, limit_vms)
+        self.relay_address = f"{HOST}:{self.relay.port}"
 
     def _relay_vms(self):
         return [
-            RelayVm(f"{HOST}:{vm.relay.port}", vm.vm.zone)
+            RelayVm(vm.relay_address, vm.vm.zone)
             for vm in self.fleet.vms
             if vm is not self and not vm.is_cut_off
         ]
@@ -264,6 +267,11 @@
     def set_live_vms(self, vms):
         self.placement.set_live_vms(self.vm, vms)
 
+    def begin_shutdown(self, schedule):
+        self.context.begin_shutdown(
+            ShutdownPolicy(self.fleet.clock, schedule, self.placement.response_times)
+        )
+
 
 class Fleet:
     """VMs, instances and callers; ``crashing`` holds targets and bodies.
@@ -297,6 +305,7 @@
         self.crashing_versions = {"v1"}
         self.crashes = []
         self.arrivals = []
+        self.finished_at_by_target = {}
         self.outcomes = Counter()
         self.hung_addresses = set()
         self.blocked = {}
--- a/src/galenaferry/tests/simulated_instances.py
+++ b/src/galenaferry/tests/simulated_instances.py
@@ -18,11 +18,12 @@
 
 
 class Arrival(NamedTuple):
-    """A request that reached an instance."""
+    """A request that reached an instance, with the time that it was given."""
 
     at: float
     target: bytes
     instance: str
+    time_left_ms: int = 0
 
 
 class SimulatedInstance:
@@ -119,6 +120,7 @@
             return
         self.busy -= 1
         target = connection.head.target
+        self.fleet.finished_at_by_target[target] = self.fleet.clock.now()
         if (target, connection.body) in self.fleet.crashing and (
             self.version in self.fleet.crashing_versions
         ):
@@ -195,7 +197,12 @@
             self.respond(b"421 Misdirected Request", b"")
             return
         server.fleet.arrivals.append(
-            Arrival(server.fleet.clock.now(), self.head.target, server.instance.id)
+            Arrival(
+                server.fleet.clock.now(),
+                self.head.target,
+                server.instance.id,
+                int(self.head.header(HEADER_NAMES.time_left) or 0),
+            )
         )
         server.run(self)
 
