Report a connection without a file descriptor as failed

On a VM that has no file descriptor left for a moment, reads of the store, fetches from other VMs and the check of its own links could stop for good, and callers' connections were closed without an answer.

Cause: connect() promises that it reports a failure to its owner, but let the OSError of socket.socket() through.

Change: connect() returns a stream that ends with EMFILE, as for any other failure. Such a request is refused, not run.

--- a/src/galenaferry/network/stream.py
+++ b/src/galenaferry/network/stream.py
@@ -221,14 +221,53 @@
         self.owner.on_ended(errno.errorcode.get(error.errno or 0, "EIO"))
 
 
+class _UnopenedStream(Stream):
+    """Stream for which no socket could be opened; it only ends."""
+
+    __slots__ = ()
+
+    def __init__(self, owner: StreamOwner) -> None:
+        self.owner = owner
+        self.is_connecting = True
+        self.is_open = True
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._write_buffer = deque()
+        self._write_buffer_bytes = 0
+
+    @property
+    def peer(self) -> str:
+        return "unconnected"
+
+    def pause(self) -> None:
+        return
+
+    def close(self) -> None:
+        self.is_open = False
+        self._write_buffer.clear()
+
+    def shutdown_write(self) -> None:
+        self.close()
+
+    def _queue(self, data: memoryview | bytes) -> None:
+        return
+
+
 def connect(loop: Loop, address: tuple[str, int], owner: StreamOwner) -> Stream:
     """Start to connect to ``address`` and return the connecting stream.
 
     ``owner.on_connected`` or ``owner.on_ended`` is called after this function has
-    returned, also if connecting fails at once.
+    returned, also if connecting fails at once or the process has no file descriptor
+    left.
     """
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(family, socket.SOCK_STREAM)
+    except OSError as error:
+        unopened = _UnopenedStream(owner)
+        reason = errno.errorcode.get(error.errno or 0, "EIO")
+        loop.after(0.0, lambda: _report_failure(unopened, reason))
+        return unopened
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     code = sock.connect_ex(address)
