Start early requests one by one, so that none is lost with another

Requests that arrive while a VM starts, or after it was paused, are held and then started in one loop. An exception in one of them ended the loop: the others stayed unanswered, without a deadline, until their callers left.

Change: each start is a callback of its own in the event loop, which logs the exception.

Test: requests/tests/test_startup.py, failed before ([1] of [1, 2] started).

--- a/src/galenaferry/requests/startup.py
+++ b/src/galenaferry/requests/startup.py
@@ -30,6 +30,7 @@
         hold: Millis = STARTUP_HOLD_MS,
         on_first_request: Callable[[], None] = lambda: None,
     ) -> None:
+        self._loop = loop
         self._on_first_request: Callable[[], None] | None = on_first_request
         self._pending: list[Callable[[], None]] | None = []
         loop.after(hold, self.release)
@@ -48,4 +49,5 @@
         """Start the held requests; later ones are not held."""
         pending, self._pending = self._pending, None
         for start in pending or ():
-            start()
+            # A request that fails to start must not keep the others from it.
+            self._loop.call_soon(start)
--- a/src/galenaferry/requests/tests/test_startup.py
+++ b/src/galenaferry/requests/tests/test_startup.py
@@ -47,6 +47,25 @@
     assert bench.clock.now() - started_at <= STARTUP_HOLD_MS + 10.0
 
 
+def test_early_requests_start_after_one_that_fails():
+    """Guards against requests that stay unanswered since another one raised an error."""
+    loop = Loop(FakeClock(), is_fault_tolerant=True)
+    queue = StartupQueue(loop)
+    started = []
+
+    def fail():
+        raise RecursionError
+
+    queue.enqueue(lambda: started.append(1))
+    queue.enqueue(fail)
+    queue.enqueue(lambda: started.append(2))
+    loop.call_soon(queue.release)
+    loop.poll(0.0)
+    loop.poll(0.0)
+    assert started == [1, 2]
+    assert loop.failed_callback_count == 1
+
+
 def test_an_early_request_is_not_sent_after_its_caller_left():
     bench = make_starting_bench()
     caller = bench.caller().post("/bookings/one", b"abc")
