Expect the same errors in all places that read foreign values

With a row that can't be decoded in its own tables, the entry daemon stopped reading the configuration for good (it still took itself for reading), a proposal stayed undecided without a further try, and a claim on a key that another request may hold was given up as not run (test: refused with Unavailable). A response of the platform with an infinite revision never reached the caller of the call.

Each reader named the errors that it expected: some lacked OverflowError (int of 1e999), some TypeError or RecursionError. Callbacks that decode left a flag set.

Change: json_data.FIELD_ERRORS names them once, and all readers of rows, responses, datagrams' entries and transfers use it. A row that can't be decoded ends its read as failed, with an alarm; an unreadable claim is of unknown outcome.

--- a/src/galenaferry/claims/component.py
+++ b/src/galenaferry/claims/component.py
@@ -7,6 +7,7 @@
 from result import Err, Result
 
 from ..clock import Millis
+from ..logs import logger
 from ..network.loop import Loop
 from ..store.client import PlatformClient
 from ..store.messages import ABSENT_REVISION, Condition, PlatformError, Row
@@ -37,6 +38,8 @@
 
 ClaimCallback = Callable[[ClaimOutcome], None]
 
+log = logger("claims")
+
 
 class ClaimsComponent(BaseComponent):
     """Claims of idempotency keys by this VM.
@@ -205,7 +208,13 @@
         if found is None:
             self.write(ABSENT_REVISION)
             return
-        row = decode_row(found.value)
+        try:
+            row = decode_row(found.value)
+        except ValueError as error:
+            # Another request may hold the key.
+            log.warning("invalid row of a claim", key=found.key, error=str(error))
+            self._finish(OutcomeUnknown())
+            return
         is_own = row.owner == self._request.owner
         if is_own and row.state is ClaimState.CLAIMED:
             # An earlier write of this claim took effect, but its response was lost.
--- a/src/galenaferry/claims/messages.py
+++ b/src/galenaferry/claims/messages.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Any, NamedTuple
 
-from ..json_data import parse_json
+from ..json_data import FIELD_ERRORS, parse_json
 
 
 class ClaimState(Enum):
@@ -119,7 +119,7 @@
             written_at=float(data["at"]),
             record=_decode_record(data.get("record")),
         )
-    except (KeyError, TypeError) as error:
+    except FIELD_ERRORS as error:
         raise ValueError(f"invalid claim row: {error!r}") from None
 
 
--- a/src/galenaferry/claims/tests/test_claims.py
+++ b/src/galenaferry/claims/tests/test_claims.py
@@ -1,5 +1,6 @@
 """Claims under lost responses, late writes, platform outages and failed VMs."""
 
+import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
@@ -144,3 +145,11 @@
     bench.platform.apply_late_writes()
     bench.run(5000.0)
     assert sum(isinstance(outcome, Granted) for outcome in bench.outcomes) <= 1
+
+
+@pytest.mark.parametrize("value", ["[" * 20_000, "null", "x", '{"state": []}'])
+def test_a_row_that_cannot_be_decoded_gives_no_promise(value):
+    """Guards against "not run" of a request whose key another one may hold."""
+    bench = ClaimBench()
+    bench.platform.rows["k"] = (value, 7)
+    assert bench.claim().run(1_000.0) == [OutcomeUnknown()]
--- a/src/galenaferry/configuration/acceptance.py
+++ b/src/galenaferry/configuration/acceptance.py
@@ -15,7 +15,7 @@
 
 from ..clock import Millis
 from ..findings import Finding
-from ..json_data import parse_json
+from ..json_data import FIELD_ERRORS, parse_json
 from ..network.loop import Loop
 from ..store.client import PlatformClient
 from ..store.messages import (
@@ -102,7 +102,7 @@
     try:
         data = parse_json(text)
         return Head(int(data["version"]), str(data["digest"]))
-    except (KeyError, TypeError) as error:
+    except FIELD_ERRORS as error:
         raise ValueError(f"invalid configuration head: {error!r}") from None
 
 
@@ -153,11 +153,18 @@
         if isinstance(result, Err):
             self._retry_later(result.err_value.text)
         elif result.ok_value is not None:
-            accepted = Accepted(int(result.ok_value.value))
-            self._catch_up(lambda: self._done(accepted))
+            self._on_accepted_earlier(result.ok_value.value)
         else:
             self._catch_up(self._read_head)
 
+    def _on_accepted_earlier(self, value: str) -> None:
+        try:
+            accepted = Accepted(int(value))
+        except FIELD_ERRORS:
+            self._retry_later("the row of the change can't be read")
+            return
+        self._catch_up(lambda: self._done(accepted))
+
     def _read_head(self) -> None:
         self._platform.read(HEAD_KEY, self._on_head_row)
 
@@ -166,7 +173,11 @@
             self._retry_later(result.err_value.text)
             return
         row = result.ok_value
-        head = decode_head(row.value) if row is not None else Head(0, "")
+        try:
+            head = decode_head(row.value) if row is not None else Head(0, "")
+        except ValueError as error:
+            self._retry_later(str(error))
+            return
         if head != self._state.head:
             self._retry_later("this VM has not caught up with the newest version")
             return
--- a/src/galenaferry/configuration/component.py
+++ b/src/galenaferry/configuration/component.py
@@ -185,7 +185,11 @@
             self._end_reading()
             return
         row = result.ok_value
-        head = decode_head(row.value) if row is not None else Head(0, "")
+        try:
+            head = decode_head(row.value) if row is not None else Head(0, "")
+        except ValueError as error:
+            self._on_unreadable(error)
+            return
         own_head = self.state.head
         if head == own_head:
             self.lease.on_read_succeeded(self._read_started)
@@ -224,7 +228,11 @@
             return
         rows = result.ok_value
         before = self.state.version
-        self._adopt_rows(rows)
+        try:
+            self._adopt_rows(rows)
+        except ValueError as error:
+            self._on_unreadable(error)
+            return
         has_changed = self.state.version > before
         if has_changed:
             self._on_adopted()
@@ -244,6 +252,12 @@
                 )
                 return
 
+    def _on_unreadable(self, error: ValueError) -> None:
+        """End a read of rows that can't be decoded; it counts as failed."""
+        self._raise_alarm(f"the table holds rows that can't be read: {error}")
+        self.lease.on_read_failed()
+        self._end_reading()
+
     def _end_reading(self) -> None:
         self._is_reading = False
         callbacks, self._after_read_callbacks = self._after_read_callbacks, []
--- a/src/galenaferry/configuration/messages.py
+++ b/src/galenaferry/configuration/messages.py
@@ -4,7 +4,7 @@
 import json
 from typing import NamedTuple, TypedDict
 
-from ..json_data import parse_json
+from ..json_data import FIELD_ERRORS, parse_json
 
 
 class Edit(NamedTuple):
@@ -134,7 +134,7 @@
             edits=decode_edits(row["edits"]),
             digest=str(row["digest"]),
         )
-    except (KeyError, TypeError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         raise ValueError(f"invalid configuration change: {error!r}") from None
 
 
--- a/src/galenaferry/configuration/snapshots.py
+++ b/src/galenaferry/configuration/snapshots.py
@@ -12,7 +12,7 @@
 
 from result import Err, Result
 
-from ..json_data import parse_json
+from ..json_data import FIELD_ERRORS, parse_json
 from ..store.client import PlatformClient
 from ..store.messages import PlatformError
 from .compact import Configuration, content_digest
@@ -118,7 +118,7 @@
             data: Any = parse_json(result.ok_value)
             self._head = Head(int(data["version"]), str(data["digest"]))
             self._digests = [str(digest) for digest in data["pages"]]
-        except (ValueError, KeyError, TypeError):
+        except FIELD_ERRORS:
             self._fail("the index of the snapshot is damaged")
             return
         self._read_page(0)
--- a/src/galenaferry/configuration/state.py
+++ b/src/galenaferry/configuration/state.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict
 from typing import Final
 
-from ..json_data import parse_json
+from ..json_data import FIELD_ERRORS, parse_json
 from ..spreading.messages import ApplyResult
 from .compact import Configuration
 from .document import Sections, apply_edits
@@ -72,10 +72,18 @@
         """Replace the configuration with encoded sections of a newer version.
 
         Return False, and change nothing, if the version is not newer.
+
+        Raises
+        ------
+        ValueError
+            When a row is not an encoded section.
         """
         if version <= self.version:
             return False
-        configuration = Configuration(dict(parse_json(row) for row in rows))
+        try:
+            configuration = Configuration(dict(parse_json(row) for row in rows))
+        except FIELD_ERRORS as error:
+            raise ValueError(f"invalid section: {error!r}") from None
         return self.load_snapshot(Head(version, digest), configuration)
 
     def adopt(self, change: Change) -> ApplyResult:
--- a/src/galenaferry/crashes/blocked_table.py
+++ b/src/galenaferry/crashes/blocked_table.py
@@ -23,7 +23,7 @@
     TableRow,
     TableUpdate,
 )
-from ..json_data import check_text, parse_json
+from ..json_data import FIELD_ERRORS, check_text, parse_json
 from ..logs import logger
 from ..network.loop import Loop, Timer
 from .messages import Blocked
@@ -154,7 +154,7 @@
                         frozenset(check_text(v, "crashed") for v in data["crashed"]),
                         frozenset(check_text(v, "serving") for v in data["serving"]),
                     )
-            except (ValueError, KeyError, TypeError) as error:
+            except FIELD_ERRORS as error:
                 log.warning(
                     "invalid row of a blocked request", row=row.key, error=repr(error)
                 )
--- a/src/galenaferry/discovery/peer_updates.py
+++ b/src/galenaferry/discovery/peer_updates.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from ..clock import Millis
-from ..json_data import parse_json
+from ..json_data import FIELD_ERRORS, parse_json
 from ..network.fetch import MAX_RESPONSE_BYTES, FetchRequest, FetchResult, fetch
 from ..network.json_server import JsonRequest, JsonResponse
 from ..network.loop import Loop
@@ -78,7 +78,7 @@
         is_whole = bool(data["whole"])
         # VMs of an earlier version don't tell.
         changed = StoreVersion(version.era, int(data.get("changed", version.counter)))
-    except (KeyError, TypeError, AttributeError, OverflowError, zlib.error) as error:
+    except (*FIELD_ERRORS, zlib.error) as error:
         raise ValueError(f"invalid table update: {error!r}") from None
     if not (0 <= version.era <= MAX_ERA and 0 <= version.counter <= MAX_COUNTER):
         raise ValueError(f"invalid table update: {version} is out of range")
--- a/src/galenaferry/json_data.py
+++ b/src/galenaferry/json_data.py
@@ -7,6 +7,16 @@
 import json
 from typing import Any, Final
 
+FIELD_ERRORS: Final = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""Errors that taking apart a value of any content can raise. All places that read what
+another process wrote expect them, so that no callback ends with one."""
 MAX_INTEGER: Final = (1 << 63) - 1
 """Largest integer that is accepted."""
 
--- a/src/galenaferry/membership/vm_list.py
+++ b/src/galenaferry/membership/vm_list.py
@@ -5,7 +5,7 @@
 from typing import Any, Final, NamedTuple
 
 from ..backends.messages import Instance
-from ..json_data import parse_json
+from ..json_data import FIELD_ERRORS, parse_json
 from ..spreading.messages import ApplyResult
 from .messages import Member
 
@@ -50,7 +50,7 @@
     try:
         revision, address, row = parse_json(text)
         return VmChange(int(revision), str(address), row and decode_row(row))
-    except (TypeError, ValueError) as error:
+    except FIELD_ERRORS as error:
         raise ValueError(f"invalid change of the VM list: {error}") from None
 
 
--- a/src/galenaferry/node/vm_register.py
+++ b/src/galenaferry/node/vm_register.py
@@ -15,7 +15,7 @@
 from ..clock import Millis
 from ..discovery.messages import HistoryLost, TableError, TableRow, TableUpdate
 from ..ini import parse_address
-from ..json_data import check_text, parse_json
+from ..json_data import FIELD_ERRORS, check_text, parse_json
 from ..logs import logger
 from ..membership.messages import Member
 from ..membership.state import MemberTable
@@ -136,7 +136,7 @@
         parse_address(check_text(address, "the address"))
         check_text(zone, "the zone")
         check_text(region, "the region")
-    except (ValueError, TypeError) as error:
+    except FIELD_ERRORS as error:
         log.warning("invalid row in the table of VMs", row=row.key, error=str(error))
         return None
     return Member(address, 0, 0, zone, region, False, 0)
--- a/src/galenaferry/platform/documents.py
+++ b/src/galenaferry/platform/documents.py
@@ -9,7 +9,7 @@
 from ..clock import Millis
 from ..framing.limits import CallerLimits
 from ..ini import parse_address
-from ..json_data import MAX_INTEGER, check_text, parse_json
+from ..json_data import FIELD_ERRORS, MAX_INTEGER, check_text, parse_json
 from ..routing.hosts import HostRoute, RoutingDocument, ServiceSettings, WeightedService
 
 CONFIGURATION_TABLE: Final = "op"
@@ -37,7 +37,7 @@
             service_by_name={service.name: service for service in services},
             limits=_parse_limits(data["limits"]),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         return Err(_describe(error))
     return Ok(document)
 
@@ -75,7 +75,7 @@
             sequence=_get_integer(status, "sequence"),
             version=_get_string(info, "version"),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except FIELD_ERRORS as error:
         return Err(_describe(error))
     return Ok(instance)
 
--- a/src/galenaferry/platform/store.py
+++ b/src/galenaferry/platform/store.py
@@ -21,7 +21,7 @@
     TableUpdateCallback,
 )
 from ..framing.messages import find_header
-from ..json_data import check_text, parse_json
+from ..json_data import FIELD_ERRORS, check_text, parse_json
 from ..logs import logger
 from ..network.fetch import FetchRequest, FetchResponse, FetchResult, fetch
 from ..network.loop import Loop
@@ -196,7 +196,7 @@
             return Err(TableError(f"status {response.status}"))
         try:
             return Ok(parse(response, era.ok_value))
-        except (ValueError, KeyError, TypeError, OverflowError) as error:
+        except FIELD_ERRORS as error:
             return Err(TableError(f"invalid response: {error!r}"))
 
     def _read_era(self, response: FetchResponse) -> Result[int, TableError]:
@@ -277,7 +277,7 @@
         try:
             if not row.get("part"):
                 found.append(_parse_row(row, version))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except FIELD_ERRORS as error:
             log.warning("invalid row in a response of the store", error=repr(error))
     return found
 
--- a/src/galenaferry/store/client.py
+++ b/src/galenaferry/store/client.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from ..json_data import parse_json
+from ..json_data import FIELD_ERRORS, parse_json
 from ..membership.vm_list import VmChange, decode_row
 from ..network.fetch import FetchRequest, FetchResponse, FetchResult, fetch
 from ..network.loop import Loop
@@ -130,7 +130,7 @@
         return Err(PlatformError(f"status {response.status}", True))
     try:
         return Ok(parse(response))
-    except (ValueError, KeyError, TypeError) as error:
+    except FIELD_ERRORS as error:
         return Err(PlatformError(f"bad answer: {error!r}", True))
 
 
