Explain requests also from logs with odd lines

galenaferry explain ended with a traceback if one line of the logs was nested too deeply (RecursionError), if a line of the request lacked a field (KeyError) or a channel was a list (TypeError).

Change: lines are parsed like all other JSON from outside; a line that can't be parsed is left out, and missing fields are shown as such.

--- a/src/galenaferry/operator/client.py
+++ b/src/galenaferry/operator/client.py
@@ -6,6 +6,8 @@
 
 from result import Err, Ok, Result
 
+from ..json_data import parse_json
+
 TIMEOUT_SECONDS: Final = 10.0
 
 
@@ -33,13 +35,13 @@
     try:
         connection.request(method, path, payload, headers)
         response = connection.getresponse()
-        text = response.read().decode()
+        text = response.read().decode(errors="replace")
     except (OSError, http.client.HTTPException) as error:
         host, port = target.address
         return Err(f"request to {host}:{port} failed: {error}")
     finally:
         connection.close()
     try:
-        return Ok(AdminResponse(response.status, json.loads(text)))
+        return Ok(AdminResponse(response.status, parse_json(text)))
     except ValueError:
         return Ok(AdminResponse(response.status, text))
--- a/src/galenaferry/operator/explain.py
+++ b/src/galenaferry/operator/explain.py
@@ -1,10 +1,12 @@
 """Explanation of a request's outcome from the structured logs of many VMs."""
 
-import json
 import re
+from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
+from ..json_data import FIELD_ERRORS, parse_json
+
 CONTEXT_SECONDS: Final = 10.0
 """Maximum time between a request's first line and other lines related to it."""
 STATE_CHANNELS: Final = frozenset(
@@ -46,7 +48,7 @@
         if match is None:
             continue
         try:
-            record = json.loads(match["record"])
+            record = parse_json(match["record"])
         except ValueError:
             continue
         yield LogLine(match["origin"].strip(), str(record.get("time", "")), record)
@@ -69,11 +71,11 @@
     state_lines = [
         line
         for line in ordered
-        if line.record.get("channel") in STATE_CHANNELS
+        if str(line.record.get("channel")) in STATE_CHANNELS
         and "request" not in line.record
         and _is_in_context(line, request_lines[0])
         and _vm(line) in vms
-        and line.record.get("instance", "") in instances | {""}
+        and str(line.record.get("instance", "")) in instances | {""}
     ]
     related_requests = [
         str(line.record["request"])
@@ -111,18 +113,30 @@
 
 
 def _render_request(line: LogLine, record: dict[str, Any]) -> str:
+    known = defaultdict(lambda: "?", record)
     rows = [
-        f"{line.time} {_vm(line)} request {record['request']} on {record['route']}: "
-        f"status {record['status']}, {record['ran']}, {record['took_ms']} ms"
-        + (f", {record['reason']}" if record["reason"] else "")
+        f"{line.time} {_vm(line)} request {known['request']} on {known['route']}: "
+        f"status {known['status']}, {known['ran']}, {known['took_ms']} ms"
+        + (f", {record['reason']}" if record.get("reason") else "")
     ]
-    rows += [f"    {name}: {how} after {ms} ms" for name, how, ms in record["attempts"]]
+    rows += [f"    {name}: {how} after {ms} ms" for name, how, ms in _attempts(line)]
     return "\n".join(rows)
 
 
-def _failed_instances(line: LogLine) -> list[str]:
+def _attempts(line: LogLine) -> list[tuple[str, str, Any]]:
+    """Return the attempts of a request as instance, outcome and duration in ms.
+
+    Lines of other programs, which need not have that form, count as without attempts.
+    """
     attempts = line.record.get("attempts", [])
-    return [name for name, how, _ in attempts if not how.startswith("Answered")]
+    try:
+        return [(str(name), str(how), ms) for name, how, ms in attempts]
+    except FIELD_ERRORS:
+        return []
+
+
+def _failed_instances(line: LogLine) -> list[str]:
+    return [name for name, how, _ in _attempts(line) if not how.startswith("Answered")]
 
 
 def _vm(line: LogLine) -> str:
@@ -141,6 +155,8 @@
     """
     clock = line.time.partition("T")[2].split("+")[0].rstrip("Z")
     parts = clock.split(":")
-    if len(parts) != 3:
+    try:
+        hours, minutes, seconds = map(float, parts)
+    except ValueError:
         return 0.0
-    return float(parts[0]) * 3600.0 + float(parts[1]) * 60.0 + float(parts[2])
+    return hours * 3600.0 + minutes * 60.0 + seconds
--- a/src/galenaferry/operator/tests/test_explain.py
+++ b/src/galenaferry/operator/tests/test_explain.py
@@ -169,3 +169,35 @@
     assert f"status 0, unknown, 12 ms, {reason}" in text
     assert "graceful shutdown requested" in text
     assert "graceful shutdown complete cut=1 cut_requests=['cut']" in text
+
+
+COMPLETE_LINE = {
+    "time": "2026-12-04T10:20:20",
+    "request": "q1",
+    "route": "r",
+    "status": 500,
+    "reason": "",
+    "ran": "unknown",
+    "took_ms": 3,
+    "attempts": [["i-1@5", "ServerFault(status=500)", 3]],
+}
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        '{"a": ' + "[" * 20_000 + "}",
+        '{"time": 7, "request": "q2"}',
+        '{"time": "x:y:z", "request": "q2", "attempts": 7}',
+        '{"request": "q2", "attempts": [7]}',
+        '{"request": "q2", "attempts": [["i-1@5", 7, 7]]}',
+        '{"channel": ["drain"], "message": "m"}',
+        '{"time": "2026-12-04T10:20:20", "request": "q1"}',
+    ],
+    ids=lambda line: line[:40],
+)
+def test_an_odd_line_does_not_keep_a_request_from_being_explained(line):
+    """Guards against an operator who gets a traceback for one line of many."""
+    lines = [f"vm-1 {line}", f"vm-1 {json.dumps(COMPLETE_LINE)}"]
+    text = render_explanation(explain("q1", read_lines(lines)))
+    assert "request q1 on r: status 500" in text
