Report settings that are nested too deeply as a finding

A settings file with some thousand brackets ended the process at its start with a traceback, and each check of the file while it runs with an exception in the log instead of one finding.

Test: platform/tests/test_settings.py, failed before.

--- a/src/galenaferry/platform/settings.py
+++ b/src/galenaferry/platform/settings.py
@@ -65,6 +65,8 @@
         data = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         return Err([Finding(file, "", "", 0, str(error))])
+    except RecursionError:
+        return Err([Finding(file, "", "", 0, "the values are nested too deeply")])
     findings: list[Finding] = []
     fields = _Fields(file, data, "", findings)
     listen = fields.table("listen")
--- a/src/galenaferry/platform/tests/test_settings.py
+++ b/src/galenaferry/platform/tests/test_settings.py
@@ -51,3 +51,8 @@
     text = NODE_FILE + f"\n[limits]\nlinkMbps = {value}\n"
     findings = parse_node_file("local.toml", text).unwrap_err()
     assert [(f.section, f.key) for f in findings] == [("limits", "linkMbps")]
+
+
+def test_settings_that_are_nested_too_deeply_are_a_finding():
+    """Guards against a process that ends, or stops reading its settings again."""
+    assert parse_node_file("local.toml", "bounds = " + "[" * 5_000).is_err()
