Let one unreadable part of a configuration cost no other part

One route of an unknown kind, or with one odd field, made the whole configuration unreadable: VMs that started then refused everything, the others kept the old routes and refused once they knew that they were behind.

Change: routes, services and limits are decoded one by one. An optional field that can't be read counts as absent, an unknown kind as one that must not be repeated. A route without a readable host or prefix is left out, and no request is answered 404 then (503, not run); one without readable services answers 503. Without any readable route the configuration is refused as before. The findings are logged, at most ten.

--- a/src/galenaferry/node/configuration.py
+++ b/src/galenaferry/node/configuration.py
@@ -92,6 +92,12 @@
                 source=source,
                 behind_ms=int(behind_for),
             )
+            if document.findings:
+                log.error(
+                    "parts of the configuration can't be read",
+                    version=document.version,
+                    findings=list(document.findings),
+                )
         elif document.version < before:
             log.warning(
                 "ignored a configuration that is not newer than the one in force",
--- a/src/galenaferry/platform/documents.py
+++ b/src/galenaferry/platform/documents.py
@@ -1,13 +1,14 @@
 """Decoding of the rows that the operator and the instances write to the store."""
 
 import math
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
 
 from result import Err, Ok, Result
 
 from ..backends.messages import Instance
 from ..clock import Millis
-from ..framing.limits import CallerLimits
+from ..framing.limits import UNKNOWN_LIMITS, CallerLimits
 from ..ini import parse_address
 from ..json_data import FIELD_ERRORS, MAX_INTEGER, check_text, parse_json
 from ..routing.hosts import HostRoute, RoutingDocument, ServiceSettings, WeightedService
@@ -23,23 +24,44 @@
 INSTANCE_STATES: Final = frozenset(("ready", "draining"))
 MAX_ERROR_LENGTH: Final = 200
 """Characters of an error, which may quote a value of any length."""
+MAX_FINDINGS: Final = 10
+"""Findings that are kept of one configuration."""
+
+T = TypeVar("T")
 
 
 def decode_configuration(value: bytes) -> Result[RoutingDocument, str]:
-    """Decode the configuration that the operator wrote; return the error otherwise."""
+    """Decode the configuration that the operator wrote; return the error otherwise.
+
+    Parts that can't be read are left out, with a finding each, so that they don't cost
+    the others. Without any readable route the configuration is an error.
+    """
+    findings = _Findings()
     try:
         data = parse_json(value)
-        services = [_parse_service(row) for row in _get_list(data, "services")]
-        document = RoutingDocument(
-            # The version is a string of eight hexadecimal digits.
-            version=int(_get_string(data, "version"), 16),
-            routes=tuple(_parse_route(row) for row in _get_list(data, "routes")),
-            service_by_name={service.name: service for service in services},
-            limits=_parse_limits(data["limits"]),
-        )
+        # The version is a string of eight hexadecimal digits.
+        version = int(_get_string(data, "version"), 16)
+        route_rows = _get_list(data, "routes")
+        service_rows = _get_list(data, "services")
     except FIELD_ERRORS as error:
         return Err(_describe(error))
-    return Ok(document)
+    routes = findings.parse_each(
+        "route", route_rows, lambda row: _parse_route(row, findings)
+    )
+    if route_rows and not routes:
+        return Err(findings.texts[0])
+    services = findings.parse_each("service", service_rows, _parse_service)
+    limits = findings.parse("limits", data.get("limits"), _parse_limits)
+    return Ok(
+        RoutingDocument(
+            version=version,
+            routes=tuple(routes),
+            service_by_name={service.name: service for service in services},
+            limits=UNKNOWN_LIMITS if limits is None else limits,
+            findings=tuple(findings.texts),
+            has_all_routes=len(routes) == len(route_rows),
+        )
+    )
 
 
 def decode_instance(key: str, value: bytes, now: Millis) -> Result[Instance, str]:
@@ -84,28 +106,70 @@
     return f"{type(error).__name__}: {error}"[:MAX_ERROR_LENGTH]
 
 
-def _parse_route(row: dict[str, Any]) -> HostRoute:
-    kind = _get_string(row, "kind")
-    if kind not in ROUTE_KINDS:
-        raise ValueError(f"unknown kind {kind!r}")
+class _Findings:
+    """What can't be read in a configuration; ``texts`` has ``MAX_FINDINGS`` at most."""
+
+    def __init__(self) -> None:
+        self.texts: list[str] = []
+
+    def add(self, part: str, error: str) -> None:
+        """Add an error in a part of the configuration."""
+        if len(self.texts) < MAX_FINDINGS:
+            self.texts.append(f"{part}: {error}"[:MAX_ERROR_LENGTH])
+
+    def parse(self, part: str, value: Any, parse: Callable[[Any], T]) -> T | None:
+        """Return a parsed value, None with a finding if that fails."""
+        try:
+            return parse(value)
+        except FIELD_ERRORS as error:
+            self.add(part, _describe(error))
+            return None
+
+    def parse_each(
+        self, part: str, rows: list[Any], parse: Callable[[Any], T]
+    ) -> list[T]:
+        """Return the rows that can be parsed; the others give a finding."""
+        parsed = [
+            self.parse(f"{part} {number}", row, parse)
+            for number, row in enumerate(rows, start=1)
+        ]
+        return [row for row in parsed if row is not None]
+
+    def parse_optional(
+        self, row: dict[str, Any], field: str, parse: Callable[[Any, str], T], absent: T
+    ) -> T:
+        """Return an optional field; one that can't be read counts as absent."""
+        if field not in row:
+            return absent
+        value = self.parse(
+            f"{field} of a route", row, lambda fields: parse(fields, field)
+        )
+        return absent if value is None else value
+
+
+def _parse_route(row: dict[str, Any], findings: _Findings) -> HostRoute:
+    host, prefix = _get_string(row, "host"), _get_string(row, "prefix")
+    kind = row.get("kind")
+    if not isinstance(kind, str) or kind not in ROUTE_KINDS:
+        # A request of an unknown kind must not be executed twice.
+        findings.add(f"route for {host}{prefix}", "unknown kind")
+        kind = ""
+    services = findings.parse(
+        f"services of {host}{prefix}", row, _parse_weighted_services
+    )
+    parse_optional = findings.parse_optional
     return HostRoute(
         name=_get_string(row, "name"),
-        host=_get_string(row, "host").lower().encode(),
-        prefix=_get_string(row, "prefix").encode(),
-        weighted_services=_parse_weighted_services(row),
+        host=host.lower().encode(),
+        prefix=prefix.encode(),
+        weighted_services=services or (),
         is_idempotent=kind in IDEMPOTENT_KINDS,
         # The number of instances that a request may be sent to, at least one.
-        max_attempts=max(1, _get_integer(row, "maxAttempts"))
-        if "maxAttempts" in row
-        else 1,
+        max_attempts=max(1, parse_optional(row, "maxAttempts", _get_integer, 1)),
         # 0 stands for none.
-        total_timeout=(_get_number(row, "timeoutMs") or None)
-        if "timeoutMs" in row
-        else None,
-        target_latency=_get_number(row, "targetLatencyMs")
-        if "targetLatencyMs" in row
-        else 0.0,
-        priority=_get_integer(row, "priority") if "priority" in row else 0,
+        total_timeout=parse_optional(row, "timeoutMs", _get_number, 0.0) or None,
+        target_latency=parse_optional(row, "targetLatencyMs", _get_number, 0.0),
+        priority=parse_optional(row, "priority", _get_integer, 0),
     )
 
 
@@ -113,10 +177,13 @@
     split = row.get("trafficSplit")
     if not split:
         return (WeightedService(_get_string(row, "service"), 1.0),)
-    return tuple(
+    services = tuple(
         WeightedService(_get_string(part, "service"), _get_number(part, "weight"))
         for part in split
     )
+    if not any(service.weight for service in services):
+        raise ValueError("no service has a weight")
+    return services
 
 
 def _parse_service(row: dict[str, Any]) -> ServiceSettings:
--- a/src/galenaferry/routing/hosts.py
+++ b/src/galenaferry/routing/hosts.py
@@ -15,6 +15,7 @@
     LACKS_CHANGE,
     MAY_LACK_ROUTE,
     NO_CONFIGURATION,
+    UNREADABLE_ROUTE,
     NoRoute,
     Route,
     RouteResult,
@@ -38,7 +39,8 @@
 
     It applies to requests whose Host header in lower case, without the port, is
     ``host`` and whose path starts with ``prefix``, which has to end with a slash to
-    match. ``max_attempts`` counts the first attempt. ``total_timeout`` is None if the
+    match. ``weighted_services`` is empty if its services could not be read.
+    ``max_attempts`` counts the first attempt. ``total_timeout`` is None if the
     operator sets none. Priority 0 is the most urgent; no decision uses it.
     """
 
@@ -67,12 +69,18 @@
 
 
 class RoutingDocument(NamedTuple):
-    """One complete version of the configuration."""
+    """One version of the configuration.
+
+    ``findings`` tell what could not be read in it. ``has_all_routes`` is False if there
+    are routes among that.
+    """
 
     version: int
     routes: tuple[HostRoute, ...]
     service_by_name: dict[str, ServiceSettings]
     limits: CallerLimits
+    findings: tuple[str, ...] = ()
+    has_all_routes: bool = True
 
 
 class HostRouteTable:
@@ -158,7 +166,10 @@
         host = (head.header(b"host") or b"").partition(b":")[0].lower()
         route = _find_longest_prefix(self._routes_by_host.get(host, {}), head.target)
         if route is None:
-            return NoRoute() if self._is_current() else MAY_LACK_ROUTE
+            is_sure = self._document.has_all_routes and self._is_current()
+            return NoRoute() if is_sure else MAY_LACK_ROUTE
+        if not route.weighted_services:
+            return UNREADABLE_ROUTE
         service = self._pick_service(route)
         return Route(
             service=service,
--- a/src/galenaferry/routing/table.py
+++ b/src/galenaferry/routing/table.py
@@ -52,6 +52,7 @@
 
 NO_CONFIGURATION: Final = UnknownRoute("no configuration is known yet")
 MAY_LACK_ROUTE: Final = UnknownRoute("this VM may lack changes of the configuration")
+UNREADABLE_ROUTE: Final = UnknownRoute("the services of the route can't be read")
 LACKS_CHANGE: Final = UnknownRoute("this VM lacks a change of the configuration")
 
 RouteResult = Route | NoRoute | UnknownRoute
