Answer requests that were sent ahead when a VM stops

A caller that sends several requests ahead got one answer with Connection: close after SIGTERM; the others, which the VM had read whole, were dropped without an answer (seven of eight in the test). They had not been passed on, but the caller could not know.

Cause: during a graceful shutdown each answer was the last one of its connection, whatever had been read behind it.

Change: only the answer to the last request that was read closes the connection; each of them is answered or refused in its turn. From then on nothing more is read, so that a caller that goes on sending ahead doesn't keep the connection for good.

--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -46,6 +46,7 @@
         "_is_answer_last",
         "_is_input_ended",
         "_is_reading_body",
+        "_is_reading_over",
         "_is_start_delayed",
         "_limit_requests",
         "_limits",
@@ -74,6 +75,7 @@
         self._is_answer_chunked = False
         self._is_answer_bodiless = False
         self._is_answer_last = False
+        self._is_reading_over = False
         self._is_start_delayed = False
         self._unsent_head = b""
         self.last_progress_at: Millis = context.loop.clock.now()
@@ -178,7 +180,7 @@
         self.last_progress_at = self._context.loop.clock.now()
         if self._is_start_delayed:
             self._is_start_delayed = False
-            self._stream.resume()
+            self._resume_reading()
             if self._exchanges:
                 self._start_next()
         elif self._exchanges:
@@ -220,6 +222,7 @@
         self._is_reading_body = False
         if self._exchanges and was_reading_body:
             self._exchanges[-1].on_body_complete()
+        self._end_reading_if_stopping()
 
     def on_answer_flushed(self) -> None:
         """Record the time at which the last answer was flushed."""
@@ -238,7 +241,7 @@
         )
         self._is_answer_last = (
             not request.is_persistent
-            or self._context.is_stopping
+            or (self._context.is_stopping and len(self._exchanges) == 1)
             or self._is_input_ended
             or is_body_missing
             or not (has_end or self._is_answer_chunked)
@@ -268,7 +271,7 @@
         if self._is_answer_last:
             self._close_after_answer()
             return
-        self._stream.resume()
+        self._resume_reading()
         if self._exchanges:
             self._start_next()
         elif self._is_input_ended:
@@ -311,6 +314,21 @@
     def resume_body(self) -> None:
         """Read the request body again."""
         if not self._is_input_ended and len(self._exchanges) < PIPELINE_LIMIT:
+            self._resume_reading()
+
+    def _end_reading_if_stopping(self) -> None:
+        """In a graceful shutdown, read no further once requests were sent ahead.
+
+        Those that were read are answered. Others are left unread, so that the caller
+        can send them to another VM.
+        """
+        has_queued = len(self._exchanges) > 1 and not self._is_reading_body
+        if has_queued and self._context.is_stopping:
+            self._is_reading_over = True
+            self._stream.pause()
+
+    def _resume_reading(self) -> None:
+        if not self._is_reading_over:
             self._stream.resume()
 
     def _send_unsent_head(self) -> None:
--- a/src/galenaferry/requests/tests/stopping_vm.py
+++ b/src/galenaferry/requests/tests/stopping_vm.py
@@ -77,13 +77,15 @@
     """A request whose parts are sent at times in ms after the signal.
 
     ``connect_at`` is the time of the connection and ``head_at`` that of the head. The
-    body, if there is one, ends at ``body_at``.
+    body, if there is one, ends at ``body_at``. ``ahead`` is the number of requests that
+    follow on the same connection before its answer.
     """
 
     method: str
     connect_at: float
     head_at: float
     body_at: float | None = None
+    ahead: int = 0
 
 
 class PlannedRequest(Request):
@@ -124,12 +126,13 @@
     def _send_head(self):
         self.sent_at = self.fleet.clock.now()
         length = 0 if self.plan.body_at is None else 10
-        self._write(
-            f"{self.plan.method} {self.target} HTTP/1.1\r\nHost: a\r\n"
-            f"Galenaferry-Request-Id: {self.request_id}\r\n"
-            f"Galenaferry-Request-Deadline-Ms: {self._deadline_ms}\r\n"
-            f"Content-Length: {length}\r\n\r\n".encode()
-        )
+        for number in range(self.plan.ahead + 1):
+            self._write(
+                f"{self.plan.method} {self.target} HTTP/1.1\r\nHost: a\r\n"
+                f"Galenaferry-Request-Id: {self.request_id}-{number}\r\n"
+                f"Galenaferry-Request-Deadline-Ms: {self._deadline_ms}\r\n"
+                f"Content-Length: {length}\r\n\r\n".encode()
+            )
         if length:
             self._write(b"first")
             delay = self.plan.body_at - self.plan.head_at
--- a/src/galenaferry/requests/tests/test_graceful_shutdown.py
+++ b/src/galenaferry/requests/tests/test_graceful_shutdown.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from galenaferry.requests.tests.builders import parse_answers
 from galenaferry.requests.tests.stopping_vm import (
     GRACE_MS,
     Plan,
@@ -158,5 +159,16 @@
     """Guards against requests that end with the process without a line in its log."""
     bench = StopBench(60_000.0, warm_up=0)
     bench.play([Plan("POST", 100.0, 200.0 + n) for n in range(3)])
-    assert sorted(bench.vm.cut_ids) == sorted(r.request_id for r in bench.requests)
+    sent_ids = sorted(f"{r.request_id}-0" for r in bench.requests)
+    assert sorted(bench.vm.cut_ids) == sent_ids
     assert [r.status for r in bench.requests] == [0] * 3
+
+
+def test_requests_that_were_sent_ahead_are_answered_or_refused_in_turn():
+    """Guards against requests that were read and then dropped with their connection."""
+    bench = StopBench(2_000.0)
+    bench.play([Plan("POST", 100.0, 200.0, ahead=7)])
+    answers = parse_answers(bench.requests[0].received)
+    assert [status for status, _, _ in answers] == [200, 200] + [503] * 6
+    assert answers[-1][1]["connection"] == "close"
+    assert len(bench.requests[0].ran_at) == 2
--- a/src/galenaferry/requests/tests/test_unfinished.py
+++ b/src/galenaferry/requests/tests/test_unfinished.py
@@ -1,7 +1,7 @@
 """Caller connections that a graceful shutdown waits for."""
 
 from galenaferry.requests.component import LINGER_TIMEOUT_MS
-from galenaferry.requests.tests.builders import Bench, healthy
+from galenaferry.requests.tests.builders import Bench, healthy, parse_answers
 
 SIZE = 8_000_000
 
@@ -111,3 +111,49 @@
     caller = bench.caller()
     bench.run_for(LINGER_TIMEOUT_MS + 10.0, caller)
     assert bench.component.unfinished_count == 0
+
+
+def test_requests_that_were_sent_ahead_are_answered_before_the_connection_closes():
+    """Guards against requests that were read and then dropped behind a last answer."""
+    bench = Bench(modes=[healthy()])
+    caller = bench.caller()
+    for number in range(8):
+        caller.get(f"/bookings/{number}")
+    bench.run_for(2.0, caller)
+    bench.context.is_stopping = True
+    bench.run(lambda: caller.is_closed, caller)
+    answers = parse_answers(caller.received)
+    assert [status for status, _, _ in answers] == [200] * 8
+    assert [headers.get("connection") for _, headers, _ in answers[-2:]] == [
+        None,
+        "close",
+    ]
+
+
+def test_a_caller_that_goes_on_sending_ahead_is_told_to_close():
+    """Guards against a connection that a stop never ends."""
+    bench = Bench(modes=[healthy()])
+    caller = bench.caller().get("/bookings/first").get("/bookings/second")
+    bench.run_for(2.0, caller)
+    bench.context.is_stopping = True
+    for number in range(400):
+        if caller.is_closed:
+            break
+        if b"connection: close" not in caller.received.lower():
+            caller.get(f"/bookings/{number}")
+        bench.run_for(3.0, caller)
+    assert caller.is_closed
+    answers = parse_answers(caller.received)
+    assert [status for status, _, _ in answers] == [200] * len(answers)
+    assert bench.executions() == len(answers)
+
+
+def test_the_rest_of_a_body_that_was_refused_does_not_delay_the_stop():
+    """Guards against answers to requests behind a body that nobody reads any more."""
+    bench = Bench(modes=[])
+    caller = bench.caller()
+    caller.send(b"POST /bookings/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc")
+    bench.run_for(5.0, caller)
+    bench.context.is_stopping = True
+    bench.run(lambda: caller.is_closed, caller)
+    assert len(parse_answers(caller.received)) == 1
