Count the wait for a slot when a VM stops

With more requests than slots, a VM that stopped passed requests on to queues at instances, where they were cut at the exit: 19 of 60 at a real process (8 instances of four slots, 2.5 s of work, one request each 40 ms from the signal on), allowed by the users' rule but lost to their callers, who had other VMs to go to.

Cause: the expected time of a request was that of one that begins at once.

Change: while this VM's own requests use all slots of a service, the expected time is that of two rounds (or more). Requests of other VMs in the same queues are not known and not counted.

Tests: two in requests/tests/test_graceful_shutdown.py, of which the first failed before (cut instead of refused); the second guards against refusing what only waits a little.

--- a/src/galenaferry/drain/admission.py
+++ b/src/galenaferry/drain/admission.py
@@ -39,6 +39,11 @@
     usual: Millis
     overdue: Millis | None
 
+    def after_queue(self, rounds: int) -> "ResponseTimes":
+        """Return the times of a request behind so many others for each slot."""
+        overdue = None if self.overdue is None else self.overdue * (1 + rounds)
+        return ResponseTimes(self.usual * (1 + rounds), overdue)
+
 
 UNKNOWN_TIMES: Final = ResponseTimes(0.0, None)
 
--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -316,7 +316,7 @@
     def _on_drain_announced(self) -> None:
         schedule = self.drain.schedule
         self.context.begin_shutdown(
-            ShutdownPolicy(self.loop.clock, schedule, lambda *_: UNKNOWN_TIMES)
+            ShutdownPolicy(self.loop.clock, schedule, lambda route: UNKNOWN_TIMES)
         )
         self.membership.leave()
 
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -21,6 +21,7 @@
 from ..health.posteriors import Outcome, Posterior, Posteriors
 from ..logs import logger
 from ..network.loop import Loop
+from ..routing.table import Route
 from .announcements import Announcements
 from .candidates import StaticCandidate, StaticCandidates
 from .decisions import (
@@ -369,9 +370,18 @@
         """Return the time in ms after which a response is overdue, 0 if unknown."""
         return self._routes.overdue_after(route, target_latency)
 
-    def response_times(self, route: str, target_latency: Millis) -> ResponseTimes:
-        """Return the times that responses on a route take, in milliseconds."""
-        return self._routes.response_times(route, target_latency)
+    def response_times(self, route: Route) -> ResponseTimes:
+        """Return the times that responses on a route take now, in milliseconds.
+
+        If this VM's requests use all slots of the service, another one waits for them.
+        """
+        times = self._routes.response_times(route.name, route.target_latency)
+        in_flight = slots = 0
+        for instance in self.by_service.get(route.service, ()):
+            pool = self._pool_by_name.get(instance.name)
+            in_flight += 0 if pool is None else pool.in_flight
+            slots += instance.slots or route.policy.slots_per_instance
+        return times.after_queue(in_flight // slots) if slots else times
 
     def on_overdue(self, instance: Instance) -> None:
         """Count an overdue response as evidence that the instance is sick."""
--- a/src/galenaferry/requests/shutdown.py
+++ b/src/galenaferry/requests/shutdown.py
@@ -17,8 +17,8 @@
 RETRY_ELSEWHERE_MS: Final[Millis] = 50.0
 """Delay before a refused caller retries: other VMs can take the request now."""
 
-GetResponseTimes = Callable[[str, Millis], ResponseTimes]
-"""Returns the times of the responses on a route, given its name and target latency."""
+GetResponseTimes = Callable[[Route], ResponseTimes]
+"""Returns the times that the responses to requests on a route take now."""
 
 
 class ShutdownPolicy:
@@ -43,7 +43,7 @@
         self, route: Route, deadline: Millis, must_be_certain: bool = False
     ) -> bool:
         """Whether a request may start now (see ``drain.admission.may_start``)."""
-        times = self._response_times(route.name, route.target_latency)
+        times = self._response_times(route)
         now = self._clock.now()
         return may_start(self._schedule, times, deadline, now, must_be_certain)
 
--- a/src/galenaferry/requests/tests/test_graceful_shutdown.py
+++ b/src/galenaferry/requests/tests/test_graceful_shutdown.py
@@ -172,3 +172,19 @@
     assert [status for status, _, _ in answers] == [200, 200] + [503] * 6
     assert answers[-1][1]["connection"] == "close"
     assert len(bench.requests[0].ran_at) == 2
+
+
+def test_requests_that_would_wait_too_long_for_a_slot_are_refused():
+    """Guards against requests that are passed on to wait, and cut before they end."""
+    plans = [Plan(METHODS[n % 2], n * 30.0, n * 30.0) for n in range(80)]
+    bench = StopBench(2_500.0).play(plans)
+    assert len(bench.with_status(200)) >= 32
+    assert len(bench.cut()) <= 1
+    assert len(bench.with_status(200)) + len(bench.with_status(503)) >= 79
+
+
+def test_requests_wait_for_a_slot_if_they_still_end():
+    """Guards against a VM that refuses in its grace what only has to wait a little."""
+    plans = [Plan(METHODS[n % 2], n * 5.0, n * 5.0) for n in range(60)]
+    bench = StopBench(1_200.0).play(plans)
+    assert len(bench.with_status(200)) == len(plans)
--- a/src/galenaferry/tests/simulated_instances.py
+++ b/src/galenaferry/tests/simulated_instances.py
@@ -56,6 +56,7 @@
             False,
             f"i-{number}",
             1,
+            slots,
             version=version,
         )
         self.version = version
