Count no queue for requests whose bodies are still arriving when a VM stops

Those requests were counted as the queue that they wait in.

Change: a request that an instance gets as its body arrives is judged without a queue.

Not changed: the time of an upload counts as time of its response in a VM's statistics, so that many slow uploads let it expect too much.

--- a/src/galenaferry/drain/admission.py
+++ b/src/galenaferry/drain/admission.py
@@ -33,16 +33,13 @@
 
     ``usual`` is met by most of them; it is the target of the route while there are too
     few, and 0 if neither is known. ``overdue`` is exceeded by hardly any, None if
-    unknown.
+    unknown. ``queued_ahead`` is the number of requests for each slot that a new one has
+    to wait for.
     """
 
     usual: Millis
     overdue: Millis | None
-
-    def after_queue(self, rounds: int) -> "ResponseTimes":
-        """Return the times of a request behind so many others for each slot."""
-        overdue = None if self.overdue is None else self.overdue * (1 + rounds)
-        return ResponseTimes(self.usual * (1 + rounds), overdue)
+    queued_ahead: int = 0
 
 
 UNKNOWN_TIMES: Final = ResponseTimes(0.0, None)
@@ -82,4 +79,4 @@
         return False
     else:
         expected = max(times.usual, times.overdue)
-    return now + expected <= schedule.answered_by
+    return now + expected * (1 + times.queued_ahead) <= schedule.answered_by
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -381,7 +381,7 @@
             pool = self._pool_by_name.get(instance.name)
             in_flight += 0 if pool is None else pool.in_flight
             slots += instance.slots or route.policy.slots_per_instance
-        return times.after_queue(in_flight // slots) if slots else times
+        return times._replace(queued_ahead=in_flight // slots) if slots else times
 
     def on_overdue(self, instance: Instance) -> None:
         """Count an overdue response as evidence that the instance is sick."""
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -231,7 +231,9 @@
         is_sent = attempt is not None and not attempt.is_over and attempt.has_sent
         if is_sent and (self.body.is_complete or self._answer.is_buffering):
             return
-        if not self._shutdown_check.may_start(route, deadline.expires_at):
+        check = self._shutdown_check
+        may_end = check.may_go_on if is_sent else check.may_start
+        if not may_end(route, deadline.expires_at):
             self._refuse_for_shutdown()
 
     def _refuse_for_shutdown(self) -> None:
--- a/src/galenaferry/requests/shutdown.py
+++ b/src/galenaferry/requests/shutdown.py
@@ -47,6 +47,14 @@
         now = self._clock.now()
         return may_start(self._schedule, times, deadline, now, must_be_certain)
 
+    def may_go_on(self, route: Route, deadline: Millis) -> bool:
+        """Whether a request may end that an instance gets as its body arrives.
+
+        It is one of those that are in flight, and waits for none of them.
+        """
+        times = self._response_times(route)._replace(queued_ahead=0)
+        return may_start(self._schedule, times, deadline, self._clock.now())
+
     def limit_time(self, remaining: Millis) -> Millis:
         """Return the time in ms that an instance is given, at least 1.
 
@@ -89,6 +97,11 @@
         policy = self._get_policy()
         return policy is None or policy.may_start(route, deadline)
 
+    def may_go_on(self, route: Route, deadline: Millis) -> bool:
+        """Whether an attempt may go on whose body is not complete."""
+        policy = self._get_policy()
+        return policy is None or policy.may_go_on(route, deadline)
+
     def may_abandon(self, route: Route, deadline: Millis) -> bool:
         """Whether an overdue attempt may be given up for one at another instance.
 
--- a/src/galenaferry/requests/tests/test_graceful_shutdown.py
+++ b/src/galenaferry/requests/tests/test_graceful_shutdown.py
@@ -188,3 +188,11 @@
     plans = [Plan(METHODS[n % 2], n * 5.0, n * 5.0) for n in range(60)]
     bench = StopBench(1_200.0).play(plans)
     assert len(bench.with_status(200)) == len(plans)
+
+
+def test_bodies_that_end_in_time_are_served_although_many_are_under_way():
+    """Guards against refusing requests for those in flight, of which they are part."""
+    plans = [Plan("POST", -300.0, -250.0 + n, 1_000.0 + n) for n in range(40)]
+    bench = StopBench(2_200.0).play(plans, early=400.0)
+    assert len(bench.with_status(200)) >= 32
+    assert bench.lost() == []
