Expect of late requests what the spread of response times tells

A VM that stops took twice the 90th percentile as the time that a late request may need.

Change: the time is the longest of the last 64 and as much again as that lies above their median, at least a quarter. The load counts in steps of a slot, with a quarter for instances that are fuller than others.

--- a/src/galenaferry/drain/admission.py
+++ b/src/galenaferry/drain/admission.py
@@ -10,6 +10,8 @@
 CLOSE_MARGIN_MS: Final[Millis] = 500.0
 """Time before the listener closes from which requests are judged as after it, since the
 signal may have been handled late."""
+UNEVEN_LOAD: Final = 0.25
+"""Part of the slots that may be free while some instance has a queue."""
 
 
 class ShutdownSchedule(NamedTuple):
@@ -32,14 +34,13 @@
     """Times that responses on a route take, in milliseconds.
 
     ``usual`` is met by most of them; it is the target of the route while there are too
-    few, and 0 if neither is known. ``overdue`` is exceeded by hardly any, None if
-    unknown. ``queued_ahead`` is the number of requests for each slot that a new one has
-    to wait for.
+    few, and 0 if neither is known. ``longest`` is exceeded by hardly any, None if
+    unknown. ``load`` is the number of requests in flight for each slot.
     """
 
     usual: Millis
-    overdue: Millis | None
-    queued_ahead: int = 0
+    longest: Millis | None
+    load: float = 0.0
 
 
 UNKNOWN_TIMES: Final = ResponseTimes(0.0, None)
@@ -74,9 +75,9 @@
         return True
     is_late = now >= schedule.closes_at - CLOSE_MARGIN_MS
     if not (is_late or must_be_certain):
-        expected = times.usual
-    elif times.overdue is None:
+        expected = times.usual * (1 + int(times.load))
+    elif times.longest is None:
         return False
     else:
-        expected = max(times.usual, times.overdue)
-    return now + expected * (1 + times.queued_ahead) <= schedule.answered_by
+        expected = times.longest * (1 + int(times.load + UNEVEN_LOAD))
+    return now + expected <= schedule.answered_by
--- a/src/galenaferry/placing/component.py
+++ b/src/galenaferry/placing/component.py
@@ -373,7 +373,7 @@
     def response_times(self, route: Route) -> ResponseTimes:
         """Return the times that responses on a route take now, in milliseconds.
 
-        If this VM's requests use all slots of the service, another one waits for them.
+        The load is that of this VM alone: it does not know that of the others.
         """
         times = self._routes.response_times(route.name, route.target_latency)
         in_flight = slots = 0
@@ -381,7 +381,7 @@
             pool = self._pool_by_name.get(instance.name)
             in_flight += 0 if pool is None else pool.in_flight
             slots += instance.slots or route.policy.slots_per_instance
-        return times._replace(queued_ahead=in_flight // slots) if slots else times
+        return times._replace(load=in_flight / slots) if slots else times
 
     def on_overdue(self, instance: Instance) -> None:
         """Count an overdue response as evidence that the instance is sick."""
--- a/src/galenaferry/placing/latency.py
+++ b/src/galenaferry/placing/latency.py
@@ -10,6 +10,8 @@
 MIN_SAMPLES: Final = 10
 """Responses below which there is no estimate."""
 QUANTILE: Final = 0.9
+MIN_SPREAD: Final = 0.25
+"""Share of the longest latency of a sample by which a later one may exceed it."""
 
 
 class LatencyTracker:
@@ -26,6 +28,18 @@
         """90th percentile in ms, 0 while there are fewer than ``MIN_SAMPLES``."""
         return self._p90
 
+    def longest_expected(self) -> Millis | None:
+        """Return a time in ms that hardly any response exceeds, None if unknown.
+
+        It is the longest of the sample and as much again as that lies above the median,
+        which tells a service with even latencies from one with outliers.
+        """
+        if len(self._samples) < MIN_SAMPLES:
+            return None
+        ordered = sorted(self._samples)
+        longest, median = ordered[-1], ordered[len(ordered) // 2]
+        return longest + max(longest - median, MIN_SPREAD * longest)
+
     def add(self, latency: Millis) -> None:
         """Add the latency of a response, in milliseconds."""
         self._samples.append(latency)
--- a/src/galenaferry/placing/route_statistics.py
+++ b/src/galenaferry/placing/route_statistics.py
@@ -31,8 +31,8 @@
 
     def response_times(self, route: str, target_latency: Millis) -> ResponseTimes:
         """Return the times that responses take, for a graceful shutdown."""
-        p90 = self._latency_tracker(route).p90
-        return ResponseTimes(p90 or target_latency, SLOW_FACTOR * p90 or None)
+        tracker = self._latency_tracker(route)
+        return ResponseTimes(tracker.p90 or target_latency, tracker.longest_expected())
 
     def record_latency(self, route: str, latency: Millis) -> bool:
         """Add the latency of a success; return whether it was overdue."""
--- a/src/galenaferry/placing/tests/test_latency.py
+++ b/src/galenaferry/placing/tests/test_latency.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from galenaferry.placing.latency import LatencyTracker
+from galenaferry.placing.latency import MIN_SAMPLES, LatencyTracker
 
 
 def p90_after(latencies):
@@ -27,3 +27,21 @@
 
 def test_p90_follows_a_change():
     assert p90_after([100.0] * 200 + [300.0] * 64) == pytest.approx(300.0)
+
+
+def test_the_longest_latency_to_expect_depends_on_the_spread():
+    """Guards against one margin for services with even latencies and with outliers."""
+    even, uneven = LatencyTracker(), LatencyTracker()
+    for number in range(64):
+        even.add(1_000.0)
+        uneven.add(3_000.0 if number % 16 == 0 else 1_000.0)
+    assert even.longest_expected() == 1_250.0
+    assert uneven.longest_expected() == 5_000.0
+
+
+def test_few_latencies_tell_nothing_of_the_longest():
+    """Guards against an estimate from too few responses."""
+    tracker = LatencyTracker()
+    for _ in range(MIN_SAMPLES - 1):
+        tracker.add(1_000.0)
+    assert tracker.longest_expected() is None
--- a/src/galenaferry/requests/shutdown.py
+++ b/src/galenaferry/requests/shutdown.py
@@ -52,7 +52,7 @@
 
         It is one of those that are in flight, and waits for none of them.
         """
-        times = self._response_times(route)._replace(queued_ahead=0)
+        times = self._response_times(route)._replace(load=0.0)
         return may_start(self._schedule, times, deadline, self._clock.now())
 
     def limit_time(self, remaining: Millis) -> Millis:
