Measure response times from the end of the request

The latency of an attempt included the time in which its body arrived from the caller.

Cause: the latency was measured from the start of the attempt, which begins with the head.

Change: it is measured from when the instance has the whole request. The watch for overdue answers still starts with the attempt.

Test: requests/tests/test_graceful_shutdown.py, failed before.

--- a/src/galenaferry/requests/attempt.py
+++ b/src/galenaferry/requests/attempt.py
@@ -60,6 +60,13 @@
     connection : BackendConnection
     owner : AttemptOwner
     policy : Policy
+
+    Attributes
+    ----------
+    started_at : float
+        Monotonic time in milliseconds at which the attempt began.
+    waits_since : float
+        The same, or the time at which the whole request had been sent.
     """
 
     __slots__ = (
@@ -78,6 +85,7 @@
         "_timer",
         "pool",
         "started_at",
+        "waits_since",
     )
 
     def __init__(
@@ -103,6 +111,7 @@
         self._is_done = False
         self._is_skipping = False
         self.started_at: Millis = loop.clock.now()
+        self.waits_since: Millis = self.started_at
 
     @property
     def is_over(self) -> bool:
@@ -283,6 +292,7 @@
                 self._end(BrokenSent(reason, is_reused=True))
                 return
             self._is_body_sent = True
+            self.waits_since = self._loop.clock.now()
             if self._is_chunked:
                 self._connection.write(LAST_CHUNK)
             return
--- a/src/galenaferry/requests/attempt_recording.py
+++ b/src/galenaferry/requests/attempt_recording.py
@@ -12,13 +12,17 @@
 
 
 class SentAttempt(NamedTuple):
-    """An attempt that was made; ``started_at`` is in milliseconds."""
+    """An attempt that was made.
+
+    ``waits_since`` is the monotonic time in milliseconds from which the instance had
+    the whole request, or from which the attempt was made if it never had.
+    """
 
     route: Route
     instance: Instance
     share: CapacityShare
     target: bytes
-    started_at: Millis
+    waits_since: Millis
 
 
 def record_attempt_outcome(
@@ -33,7 +37,7 @@
     borrowing = context.directory.borrowing_policy(sent.route.service)
     now = context.loop.clock.now()
     evidence = evaluation.evidence
-    has_little_time = now - sent.started_at < sent.route.target_latency
+    has_little_time = now - sent.waits_since < sent.route.target_latency
     if is_timeout(outcome) and (has_little_time or context.shutdown is not None):
         # The instance had less time than the target latency of the route, or than the
         # request needs, so that the timeout is no evidence against it.
@@ -57,5 +61,5 @@
         sent.route.name,
         sent.target,
         evidence,
-        now - sent.started_at,
+        now - sent.waits_since,
     )
--- a/src/galenaferry/requests/exchange.py
+++ b/src/galenaferry/requests/exchange.py
@@ -555,7 +555,8 @@
             self._summary.fingerprint = self._gate.fingerprint
         tell_gate(self._gate, instance, outcome)
         target = self.head.target
-        sent = SentAttempt(route, instance, self._share, target, started_at)
+        waits_since = started_at if self._attempt is None else self._attempt.waits_since
+        sent = SentAttempt(route, instance, self._share, target, waits_since)
         admission = self._admission
         record_attempt_outcome(self._context, sent, admission, outcome, evaluation)
 
--- a/src/galenaferry/requests/tests/test_graceful_shutdown.py
+++ b/src/galenaferry/requests/tests/test_graceful_shutdown.py
@@ -196,3 +196,16 @@
     bench = StopBench(2_200.0).play(plans, early=400.0)
     assert len(bench.with_status(200)) >= 32
     assert bench.lost() == []
+
+
+def test_the_time_of_an_upload_is_not_expected_of_the_response():
+    """Guards against refusing requests since the bodies of others arrived slowly."""
+    bench = StopBench(100.0, warm_up=0)
+    fleet = bench.fleet
+    for number in range(12):
+        fleet.post(f"/book/slow-{number}", b"x" * 100, vm=bench.vm.vm, chunks=2)
+        fleet.run(0.2)
+    fleet.run(2.0)
+    (route,) = [r for r in fleet.document.routes if r.name == "book"]
+    found = bench.vm.vm.placement.overdue_after(route.name, 0.0)
+    assert found == pytest.approx(200.0, abs=20.0)
