--- a/Makefile
+++ b/Makefile
@@ -28,9 +28,11 @@
 
 soak-check: venv
 	$(PYTHON) -m soak --seed 1 --seeds 2 --seconds 6 --vms 3 --untimed
+	$(PYTHON) -m soak --stops --seed 1 --seconds 4 --vms 3 --untimed
 
 soak: venv
 	$(PYTHON) -m soak --seed 1 --seeds 50 --seconds 15 --vms 4
+	$(PYTHON) -m soak --stops --seed 1 --seeds 10 --seconds 15 --vms 4
 
 soak-failed: venv
 	for seed in $$(awk '/^[0-9]/ {print $$1}' soak/failed-seeds.txt); do \
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from .run import Soak
+from .stops import PlannedStops
 from .upgrade import Upgrade
 
 
@@ -24,6 +25,11 @@
         help="skip the timing checks, which may fail on a busy machine",
     )
     parser.add_argument("--upgrade-from", type=Path, help="checkout of an old version")
+    parser.add_argument(
+        "--stops",
+        action="store_true",
+        help="planned stops only, with callers that send late",
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
@@ -35,10 +41,15 @@
 def _run_seed(seed: int, options: argparse.Namespace) -> bool:
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     old = options.upgrade_from
-    kind = Upgrade if old else Soak
+    kind = PlannedStops if options.stops else Upgrade if old else Soak
     soak = kind(seed, options.vms, folder, not options.untimed)
     try:
-        soak.upgrade_from(old) if old else soak.run(options.seconds)
+        if options.stops:
+            soak.stop_vms(options.seconds)
+        elif old:
+            soak.upgrade_from(old)
+        else:
+            soak.run(options.seconds)
     finally:
         soak.stop()
     outcomes = dict(sorted(soak.callers.outcomes.items()))
@@ -48,6 +59,7 @@
         print(f"  FINDING {finding}")
     if soak.record.findings:
         mode = f"--upgrade-from {old}" if old else f"--seconds {options.seconds}"
+        mode += " --stops" if options.stops else ""
         print(
             f"  again: python -m soak --seed {seed} {mode} "
             f"--vms {options.vms}; logs in {folder}; faults: {soak.injected_faults}"
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,7 +7,7 @@
 from galenaferry.network.loop import Loop
 
 from .connections import ClientConnection
-from .instances import ExecutionRecord, expected_body
+from .instances import SLOW_PREFIX, ExecutionRecord, expected_body
 from .timing import APPLY_MS
 
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
@@ -88,6 +88,20 @@
         is_new = self._random.random() < NEW_ROUTE_SHARE
         return known[-1] if known and is_new else "/query/"
 
+    def send_slow_request(self) -> None:
+        """Send a request that takes long to a random VM, on a connection of its own."""
+        self._request_count += 1
+        kind = self._random.choice("bq")
+        request = f"{kind}{self._request_count}"
+        address = self._random.choice(self.addresses)
+        connection = ClientConnection(self._loop, address, self._on_outcome)
+        self._request_by_connection[connection] = request
+        now = self._loop.clock.now()
+        self._record.timing.on_request_sent(request, address, now)
+        method = "POST" if kind == "b" else "GET"
+        target = f"{SLOW_PREFIX}{kind}/{request}"
+        _send(connection, method, target, request, deadline_ms=9_000)
+
     def send_crashing_request(self, target: str) -> None:
         """Send a request to a random VM that crashes each instance that runs it."""
         self._request_count += 1
@@ -168,9 +182,15 @@
             add_finding(f"{request} was rejected by {vm}: {head.status} {reason}")
 
 
-def _send(connection: ClientConnection, method: str, target: str, request: str) -> None:
+def _send(
+    connection: ClientConnection,
+    method: str,
+    target: str,
+    request: str,
+    deadline_ms: int = 3_000,
+) -> None:
     connection.send(
         f"{method} {target} HTTP/1.1\r\nHost: soak.example\r\n"
         f"Galenaferry-Request-Id: {request}\r\nContent-Length: 0\r\n"
-        "Galenaferry-Request-Deadline-Ms: 3000\r\n\r\n".encode()
+        f"Galenaferry-Request-Deadline-Ms: {deadline_ms}\r\n\r\n".encode()
     )
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -13,6 +13,9 @@
 
 WORK_MS = 30.0
 """Execution time of a request."""
+SLOW_PREFIX = "/slow/"
+SLOW_WORK_MS = 1_800.0
+"""Execution time of a request whose path starts with ``SLOW_PREFIX``."""
 MODES = (
     "well",
     "errors",
@@ -34,6 +37,7 @@
 
     def __init__(self) -> None:
         self.runs_by_request: Counter[str] = Counter()
+        self.started_at_by_request: dict[str, Millis] = {}
         self.services_by_request: defaultdict[str, set[str]] = defaultdict(set)
         self.findings: list[str] = []
         self.timing = TimingChecks(self.findings)
@@ -126,8 +130,10 @@
         self._record.runs_by_request[request] += 1
         self._record.services_by_request[request].add(self.service)
         now = self._loop.clock.now()
+        self._record.started_at_by_request[request] = now
         timing.on_execution(request, self.name, self.service, now)
-        self._loop.after(WORK_MS, lambda: self._respond(connection, request, mode))
+        work = SLOW_WORK_MS if target.startswith(SLOW_PREFIX) else WORK_MS
+        self._loop.after(work, lambda: self._respond(connection, request, mode))
 
     def _crash(self, target: str, request: str) -> None:
         """End with all connections, unless another request has ended it already."""
