--- a/src/galenaferry/discovery/tests/test_failing_listener.py
+++ b/src/galenaferry/discovery/tests/test_failing_listener.py
@@ -25,6 +25,7 @@
 
 @pytest.mark.parametrize("is_first", [True, False])
 def test_a_reader_goes_on_reading_after_a_change_that_could_not_be_applied(is_first):
+    """Guards against a reader that tells its zone for good that there is no news."""
     bench = FollowerBench(is_shared=True)
     if not is_first:
         bench.source.answer(table_update(10, True, config=b"one"))
@@ -40,6 +41,7 @@
 
 
 def test_a_vm_takes_later_notices_after_a_change_that_could_not_be_applied():
+    """Guards against a VM that misses all later notices."""
     bench = make_non_reader()
     fail_once(bench)
     with pytest.raises(ListenerError):
@@ -49,6 +51,7 @@
 
 
 def test_a_vm_fetches_later_changes_after_one_that_could_not_be_applied():
+    """Guards against a VM that asks no other one for changes any more."""
     bench = make_non_reader()
     bench.follower.on_notice("10.0.0.1:7000", TableNotice(at(12), at(12), ()))
     bench.run_for(150.0)
--- a/src/galenaferry/platform/tests/test_foreign_entries.py
+++ b/src/galenaferry/platform/tests/test_foreign_entries.py
@@ -91,6 +91,7 @@
 
 @pytest.mark.parametrize("name", ODD_ENTRIES)
 def test_an_odd_entry_names_no_instance_and_the_others_hold(name):
+    """Guards against a fleet that serves nothing since one entry can't be parsed."""
     listener = Listener()
     listener.updater.on_change(
         (
@@ -103,6 +104,7 @@
 
 
 def test_an_entry_whose_key_cannot_be_encoded_names_no_instance():
+    """Guards against news of instances that stop at a key which no VM can send on."""
     listener = Listener()
     listener.updater.on_change(
         (TableRow(LONE_SURROGATE, entry_json()), TableRow("i-1", entry_json()))
@@ -112,12 +114,14 @@
 
 @pytest.mark.parametrize("name", ODD_ENTRIES)
 def test_the_error_of_an_odd_entry_is_short(name):
+    """Guards against a log line as long as the entry."""
     assert len(decode_instance("odd", ODD_ENTRIES[name], 0.0).unwrap_err()) < 300
 
 
 @given(JSON_VALUES, st.sampled_from(["info", "status", "address", "born"]))
 @example(10**400, "status")
 def test_no_entry_raises_an_exception(value, field):
+    """Guards against entries whose error the reader of the table doesn't expect."""
     text = json.dumps(json.loads(entry_json()) | {field: value}).encode()
     assert isinstance(decode_instance("odd", text, 0.0), Ok | Err)
     nested = json.loads(entry_json())
@@ -131,6 +135,7 @@
 @example(NESTED)
 @example(b'{"a":' * 5_000)
 def test_no_bytes_raise_an_exception(data):
+    """Guards against bytes whose error the readers of rows don't expect."""
     for decode in (
         decode_configuration,
         lambda value: decode_instance("odd", value, 0.0),
@@ -144,11 +149,13 @@
 @example([[]], "services")
 @example([10**400], "routes")
 def test_no_configuration_raises_an_exception(value, field):
+    """Guards against a configuration that ends the reads of its table."""
     decode_configuration(configuration_json(**{field: value}))
     decode_configuration(configuration_json(**{field: [value]}))
 
 
 def test_an_odd_row_of_the_vms_does_not_stop_the_others():
+    """Guards against a VM that knows no other one since one row can't be parsed."""
     loop = Loop(FakeClock(1_000.0))
     table = MemberTable(Member("10.0.0.1:7000", 1, 0, "a", "r", False, 0), Random(1))
     register = VmRegister(loop, None, "vms", "me", table, Random(1))
@@ -178,6 +185,7 @@
 
 
 def test_an_odd_row_of_the_blocked_requests_does_not_stop_the_others():
+    """Guards against requests that crash instances again after a restart."""
     blocked = b'{"is_blocked": true, "crashed": ["v1"], "serving": ["v1"]}'
     deep = b'{"is_blocked": true, "serving": [], "crashed": [' + b"[" * 900
     rows = [
@@ -219,6 +227,7 @@
 @pytest.mark.parametrize("name", ODD_ROWS)
 @pytest.mark.parametrize("read", ["read_all", "read_changes"])
 def test_an_odd_row_of_a_table_does_not_stop_the_others(monkeypatch, name, read):
+    """Guards against a table that can't be read since one of its rows is odd."""
     sound = {"key": "i-1", "value": "eA==", "ver": 6}
     results = []
     client = StoreClient(Loop(FakeClock(1_000.0)), ("10.0.0.9", 80))
@@ -235,6 +244,7 @@
 
 
 def test_a_response_of_the_store_that_is_nested_deeply_is_an_error(monkeypatch):
+    """Guards against a read of the store that never ends."""
     results = []
     client = StoreClient(Loop(FakeClock(1_000.0)), ("10.0.0.9", 80))
     response = Ok(FetchResponse(200, (), NESTED))
