Let hostile peers act in each run of the soak

Beside the callers, seeded peers offer upgrades, send bodies in chunks of a few bytes, send ahead and read slowly, leave in the midst, send garbage, and write odd rows into each of the four tables. What they ask for rightly is checked: the whole body reaches the instance, a booking runs once, the answer is its own. The peers draw from a source of their own, so that the faults of a seed are those of before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -88,6 +88,15 @@
         is_new = self._random.random() < NEW_ROUTE_SHARE
         return known[-1] if known and is_new else "/query/"
 
+    def begin_booking(self, request: str, address: tuple[str, int]) -> ClientConnection:
+        """Return a new connection on which the caller sends a booking of its own."""
+        connection = ClientConnection(self._loop, address, self._on_outcome)
+        self._request_by_connection[connection] = request
+        self.bookings.add(request)
+        now = self._loop.clock.now()
+        self._record.timing.on_request_sent(request, address, now)
+        return connection
+
     def send_slow_request(self) -> None:
         """Send a request that takes long to a random VM, on a connection of its own."""
         self._request_count += 1
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -33,11 +33,13 @@
     """Executions and findings of one run, shared by instances and callers.
 
     ``new_routes`` are the prefixes that the operator added, and when.
+    ``body_by_request`` has the bodies of the requests that have one to be checked.
     """
 
     def __init__(self) -> None:
         self.runs_by_request: Counter[str] = Counter()
         self.started_at_by_request: dict[str, Millis] = {}
+        self.body_by_request: dict[str, bytes] = {}
         self.services_by_request: defaultdict[str, set[str]] = defaultdict(set)
         self.findings: list[str] = []
         self.timing = TimingChecks(self.findings)
@@ -131,6 +133,10 @@
         self._record.services_by_request[request].add(self.service)
         now = self._loop.clock.now()
         self._record.started_at_by_request[request] = now
+        expected = self._record.body_by_request.get(request, connection.body)
+        if connection.body != expected:
+            text = f"{request} ran with {len(connection.body)} of {len(expected)} bytes"
+            self._record.findings.append(text)
         timing.on_execution(request, self.name, self.service, now)
         work = SLOW_WORK_MS if target.startswith(SLOW_PREFIX) else WORK_MS
         self._loop.after(work, lambda: self._respond(connection, request, mode))
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,7 @@
 from .cuts import Cuts
 from .documents import make_configuration
 from .fleet import Vm
+from .hostile import HostilePeers
 from .instances import MODES, ExecutionRecord, Instance
 from .ports import HARNESS_IP, find_free_port_block, is_listening
 from .proxy import DELAY_MS, Proxy
@@ -34,6 +35,7 @@
 """Longest further wait for requests that are still pending."""
 MEAN_FAULT_INTERVAL_MS = 400.0
 REQUEST_INTERVAL_MS = 12.0
+HOSTILE_INTERVAL_MS = 150.0
 DIRECT_PORT_OFFSET = 10_000
 """Offset from the port of an instance's proxy to the port of the instance itself."""
 COPIES = 8
@@ -104,6 +106,9 @@
         self.callers = Callers(
             self.loop, [vm.front_address for vm in self.vms], self.record, seed
         )
+        self.hostile_peers = HostilePeers(
+            self.loop, self.vms, self.store, self.callers, self.record, seed
+        )
 
     def run(self, seconds: float) -> None:
         """Inject faults under load for ``seconds``, then end them all and check.
@@ -114,11 +119,14 @@
         for number, text in enumerate(ODD_ENTRIES):
             self.store.put_bytes("servers", f"odd-{number}", text)
         ends_at = self.loop.clock.now() + seconds * 1000.0
-        next_fault = self.loop.clock.now()
+        next_fault = next_hostile_act = self.loop.clock.now()
         while self.loop.clock.now() < ends_at:
             if self.loop.clock.now() >= next_fault:
                 next_fault += MEAN_FAULT_INTERVAL_MS * (0.5 + self.random.random())
                 self._inject_fault()
+            if self.loop.clock.now() >= next_hostile_act:
+                next_hostile_act += HOSTILE_INTERVAL_MS
+                self.hostile_peers.act()
             self.callers.send_request()
             self._run_loop_for(REQUEST_INTERVAL_MS)
         self._end_and_check()
@@ -131,6 +139,7 @@
         while self.callers.pending_count and self.loop.clock.now() < ends_at:
             self._run_loop_for(REQUEST_INTERVAL_MS)
         self.callers.check_executions()
+        self.record.findings += self.hostile_peers.find_large_vms()
         violation = self.cuts.find_violation()
         if violation and self._is_timed:
             self.record.findings.append(violation)
