--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,7 @@
 from .cuts import Cuts
 from .documents import make_configuration
 from .fleet import Vm
-from .hostile import HostilePeers
+from .hostile import ODD_VALUES, HostilePeers
 from .instances import MODES, ExecutionRecord, Instance
 from .ports import HARNESS_IP, find_free_port_block, is_listening
 from .proxy import DELAY_MS, Proxy
@@ -53,15 +53,6 @@
 STORE_FAULTS = ("refuse", "silent", "lose")
 
 
-ODD_ENTRIES = (
-    b"[" * 20_000,
-    b'{"info": ' * 2_000,
-    b'{"address": "127.0.0.1:99709", "info": {}, "status": {}}',
-    b"\xff\xfe",
-)
-"""Rows of another writer in the table of the instances."""
-
-
 class Soak:
     """One seeded run of a fleet with a store, instances and callers.
 
@@ -116,7 +107,7 @@
         Before the checks it waits for stopped VMs to start and pending requests to end.
         """
         self._run_loop_for(WARM_UP_MS)
-        for number, text in enumerate(ODD_ENTRIES):
+        for number, text in enumerate(ODD_VALUES):
             self.store.put_bytes("servers", f"odd-{number}", text)
         ends_at = self.loop.clock.now() + seconds * 1000.0
         next_fault = next_hostile_act = self.loop.clock.now()
--- a/src/galenaferry/platform/tests/test_foreign_entries.py
+++ b/src/galenaferry/platform/tests/test_foreign_entries.py
@@ -28,6 +28,7 @@
     configuration_json,
     entry_json,
 )
+from galenaferry.tests.json_values import JSON_VALUES, LONE_SURROGATE
 
 NESTED = b"[" * 20_000
 NESTED_IN_A_FIELD = (
@@ -37,7 +38,6 @@
 )
 STATUS = {"state": "ready", "sequence": 4, "coldRemainingMs": 0}
 INFO = {"service": "s", "version": "v1", "zone": "a", "slots": 6}
-LONE_SURROGATE = "\ud800"
 ODD_ENTRIES = {
     "nested": NESTED,
     "nested in a field": NESTED_IN_A_FIELD,
@@ -58,17 +58,6 @@
     ),
     "no text": b"\xff\xfe\x00",
 }
-JSON_VALUES = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.just(10**400)
-    | st.floats()
-    | st.text()
-    | st.just(LONE_SURROGATE),
-    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
-    max_leaves=8,
-)
 SETTINGS = parse_node_file("local.toml", NODE_FILE).unwrap()
 
 
--- a/src/galenaferry/tests/test_foreign_values.py
+++ b/src/galenaferry/tests/test_foreign_values.py
@@ -15,6 +15,7 @@
 from galenaferry.membership.vm_list import VmListLog, decode_vm_change
 from galenaferry.network.fetch import FetchResponse
 from galenaferry.store import client
+from galenaferry.tests.json_values import JSON_VALUES
 
 NESTED = "[" * 20_000
 DEEP = "[" * 900 + "]" * 900
@@ -65,17 +66,6 @@
     "commit": client._parse_commit,
     "VM list": client._parse_vm_list,
 }
-JSON_VALUES = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.just(10**400)
-    | st.floats()
-    | st.text()
-    | st.just("\ud800"),
-    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
-    max_leaves=6,
-)
 
 
 def decode_or_refuse(decode, text):
