Test that a stop counts its refusals, and refuses requests that are held

Two paths that the tests of late requests lacked: the counter by status and reason has each request refused for the stop, and a request that waits as a suspected crash is refused before the exit.

--- a/src/galenaferry/requests/tests/test_graceful_shutdown.py
+++ b/src/galenaferry/requests/tests/test_graceful_shutdown.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from galenaferry.crashes.gate import RequestGate
 from galenaferry.requests.tests.builders import parse_answers
 from galenaferry.requests.tests.stopping_vm import (
     GRACE_MS,
@@ -58,6 +59,29 @@
         assert request.reason == "this vm is shutting down"
 
 
+def test_refused_and_cut_requests_are_counted():
+    """Guards against a stop of which on-call can't tell what it cost."""
+    bench = StopBench(2_500.0).play(late_first_requests())
+    by_refusal = bench.vm.vm.context.counters.by_refusal
+    assert by_refusal[503, "this VM is shutting down"] == len(bench.with_status(503))
+    assert bench.vm.cut_ids == []
+    assert len(bench.cut()) == 0
+
+
+def test_a_request_that_is_held_as_suspected_is_refused_before_the_exit():
+    """Guards against requests that wait in the VM until its process exits."""
+    bench = StopBench(100.0)
+    held = []
+    gate = RequestGate.check
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(RequestGate, "check", lambda *arguments: held.append(arguments))
+        bench.play([Plan(METHODS[n % 2], 0.0, 100.0 + n) for n in range(6)])
+    assert gate is RequestGate.check
+    assert len(held) == 6
+    assert {r.status for r in bench.requests} == {503}
+    assert not bench.ran()
+
+
 def test_a_body_that_ends_too_late_is_not_passed_on():
     """Guards against 503 for a request of which an instance got a part."""
     bench = StopBench(2_500.0).play(late_bodies(), early=400.0)
