--- a/src/galenaferry/node/tests/configuration_fleet.py
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -62,35 +62,44 @@
 class _Poll:
     """A long poll that waits for changes."""
 
-    def __init__(self, host):
+    def __init__(self, host, table, answer):
         self.host = host
+        self.table = table
+        self.answer = answer
         self.is_pending = True
 
 
 class FakeStore:
-    """Store with one configuration, which turns some hosts away or is silent to them.
+    """Store of the tables, which turns some hosts away or is silent to them.
 
-    ``silent`` and ``refused`` hold hosts.
+    ``silent`` and ``refused`` hold hosts. ``value`` is the newest configuration.
     """
 
     def __init__(self, loop):
         self._loop = loop
         self.version = 0
         self.value = b""
-        self.changed_at = 0
+        # Value and version of each row, by table and key.
+        self._row_by_key_by_table = {"op": {}, "servers": {}}
         self.silent = set()
         self.refused = set()
-        self._waiting = []
         self._polls = []
         self.calls = 0
 
     def put(self, value):
-        self.version += 1
-        self.changed_at = self.version
+        """Write the configuration."""
         self.value = value
-        waiting, self._waiting = self._waiting, []
-        for answer in waiting:
-            answer()
+        self.put_row("op", "config", value)
+
+    def put_row(self, table, key, value):
+        self.version += 1
+        self._row_by_key_by_table[table][key] = value, self.version
+        polls, self._polls = self._polls, []
+        for poll in polls:
+            if poll.table == table:
+                poll.answer()
+            else:
+                self._polls.append(poll)
 
     def silence_connections(self, hosts):
         """Never answer the pending polls of some hosts; their new calls work."""
@@ -112,29 +121,29 @@
         return serve
 
     def _answer(self, host, path, query, respond):
-        after = int(query.get("after", 0))
-        is_configuration = query["table"] == "op"
-        if path == "/rows-feed" and not (is_configuration and self.changed_at > after):
-            poll = _Poll(host)
+        table, after = query["table"], int(query.get("after", 0))
+        if path == "/rows-feed" and not self._changed_rows(table, after):
 
             def answer():
                 if poll.is_pending and host not in self.silent:
                     poll.is_pending = False
-                    rows = self._rows(is_configuration and self.changed_at > after)
-                    respond(200, rows)
+                    respond(200, self._rows(table, after))
 
+            poll = _Poll(host, table, answer)
             self._loop.after(float(query["waitMs"]), answer)
-            if is_configuration:
-                self._waiting.append(answer)
             self._polls.append(poll)
             return
-        respond(200, self._rows(is_configuration))
+        respond(200, self._rows(table, after))
+
+    def _changed_rows(self, table, after):
+        return [
+            {"key": key, "value": base64.b64encode(value).decode(), "ver": version}
+            for key, (value, version) in self._row_by_key_by_table[table].items()
+            if version > after
+        ]
 
-    def _rows(self, has_row):
-        rows = []
-        if has_row:
-            text = base64.b64encode(self.value).decode()
-            rows = [{"key": "config", "value": text, "ver": self.changed_at}]
+    def _rows(self, table, after):
+        rows = self._changed_rows(table, after)
         return json.dumps(
             {"rows": rows, "ver": self.version, "hasMore": False, "nowMs": 0}
         ).encode()
@@ -208,7 +217,7 @@
             TableListeners(lambda rows: None, self._on_configuration, lambda: None),
             Random(number),
             is_first_start=False,
-            configuration_timeout=CONFIGURATION_TIMEOUT_MS,
+            configuration_timeout=fleet.configuration_timeout,
         )
 
     def respond(self, request, respond):
@@ -273,7 +282,8 @@
     ``loss`` is the share of the datagrams between VMs that are lost, beside those that
     a link drops because it queues ``queue_bytes`` already. ``nominal_mbps`` is the
     bandwidth of the links, of which callers leave ``link_mbps``. The last
-    ``fast_per_zone`` VMs of each zone have links of ``FAST_MBPS``.
+    ``fast_per_zone`` VMs of each zone have links of ``FAST_MBPS``. A change must be in
+    force on them after ``configuration_timeout`` ms.
     """
 
     def __init__(
@@ -287,7 +297,9 @@
         queue_bytes=math.inf,
         nominal_mbps=None,
         fast_per_zone=0,
+        configuration_timeout=CONFIGURATION_TIMEOUT_MS,
     ):
+        self.configuration_timeout = configuration_timeout
         self.nominal_mbps = nominal_mbps or link_mbps
         self.random = Random(seed)
         self.clock = FakeClock(100_000.0)
