Show for how long the store has not confirmed a VM's copies

Gauges configuration.confirmed_ago_ms and instances.confirmed_ago_ms, and a field of the lines of refused requests. No decision changes.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -37,6 +37,8 @@
 MAX_CONFIRMATION_AGE_MS: Final = 5_000.0
 """Age from which a VM no longer takes its copy for the newest one. In a fleet without
 failures it is below the time of a long poll and of two announcements."""
+NEVER_CONFIRMED_MS: Final = 1e9
+"""``confirmed_ago`` of a copy that the store has not confirmed yet."""
 LONG_POLL_MS: Final = 2_500.0
 """Time after which the store ends a long poll without changes. A poll whose connection
 went silent is given up that much later, and may be that of all readers."""
@@ -190,8 +192,15 @@
     @property
     def is_confirmed(self) -> bool:
         """Whether the store lately had no changes that this copy lacks."""
-        age = self._loop.clock.now() - self._confirmed_at
-        return not self.is_behind and age <= MAX_CONFIRMATION_AGE_MS
+        return not self.is_behind and self.confirmed_ago <= MAX_CONFIRMATION_AGE_MS
+
+    @property
+    def confirmed_ago(self) -> Millis:
+        """Time since the store is known to have had no changes that this copy lacks.
+
+        It is ``NEVER_CONFIRMED_MS`` if that never was known.
+        """
+        return min(NEVER_CONFIRMED_MS, self._loop.clock.now() - self._confirmed_at)
 
     @property
     def is_behind(self) -> bool:
@@ -392,7 +401,7 @@
             rows,
             failed_ago,
             self._settings.table,
-            now - self._confirmed_at if self._confirmed_at > -math.inf else None,
+            self.confirmed_ago if self._confirmed_at > -math.inf else None,
         )
 
     def _on_peer_failure(self) -> None:
@@ -417,8 +426,7 @@
 
         A copy whose confirmation would get too old meanwhile needs an answer at once.
         """
-        age = self._loop.clock.now() - self._confirmed_at
-        has_time = age + LONG_POLL_MS <= MAX_CONFIRMATION_AGE_MS
+        has_time = self.confirmed_ago + LONG_POLL_MS <= MAX_CONFIRMATION_AGE_MS
         self._start_read(LONG_POLL_MS if has_time else SHORT_POLL_MS)
 
     def _poll(self) -> None:
--- a/src/galenaferry/discovery/tests/test_confirmation.py
+++ b/src/galenaferry/discovery/tests/test_confirmation.py
@@ -2,10 +2,11 @@
 
 from galenaferry.discovery.follower import (
     MAX_CONFIRMATION_AGE_MS,
+    NEVER_CONFIRMED_MS,
 )
 from galenaferry.discovery.messages import TableNotice
 from galenaferry.discovery.news import MAX_NEWS_AGE_MS
-from galenaferry.discovery.tests.builders import at, table_update
+from galenaferry.discovery.tests.builders import FollowerBench, at, table_update
 from galenaferry.discovery.tests.test_news import refuse_fetches
 from galenaferry.discovery.tests.test_shared_table import (
     TWO,
@@ -77,3 +78,12 @@
     asked = len(bench.peer_fetches), len(bench.source.calls)
     deliver_notices(bench, 20_000.0)
     assert (len(bench.peer_fetches), len(bench.source.calls)) == asked
+
+
+def test_operators_see_for_how_long_the_store_has_not_confirmed_a_copy():
+    bench = FollowerBench(is_shared=True)
+    assert bench.follower.confirmed_ago == NEVER_CONFIRMED_MS
+    bench.source.answer(table_update(10, True, config=b"one"))
+    assert bench.follower.confirmed_ago == 0.0
+    bench.run_for(700.0)
+    assert bench.follower.confirmed_ago == 700.0
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -367,6 +367,10 @@
                 lambda: self.tables.configuration.missed_notices
             ),
             instances_missed_notices=lambda: self.tables.instances.missed_notices,
+            configuration_confirmed_ago_ms=(
+                lambda: self.tables.configuration.confirmed_ago
+            ),
+            instances_confirmed_ago_ms=lambda: self.tables.instances.confirmed_ago,
             instances_version=lambda: self.tables.instances.version.counter,
             is_store_away=lambda: float(self.tables.instances.is_store_unavailable),
             live_members=lambda: len(self.table.live(now())),
@@ -392,7 +396,7 @@
         self._metrics.record_request(summary, now)
         fields = summary.log_fields(now) | {"configuration": self.routes.version}
         if summary.is_rejection:
-            fields["is_configuration_behind"] = self.tables.is_configuration_behind
+            fields |= self.tables.describe_configuration_age()
         request_log.info(
             "request", is_minor=summary.is_single_attempt_success, **fields
         )
--- a/src/galenaferry/node/metrics.py
+++ b/src/galenaferry/node/metrics.py
@@ -36,6 +36,8 @@
     configuration_behind_ms: Callable[[], float]
     configuration_missed_notices: Callable[[], float]
     instances_missed_notices: Callable[[], float]
+    configuration_confirmed_ago_ms: Callable[[], float]
+    instances_confirmed_ago_ms: Callable[[], float]
     instances_version: Callable[[], float]
     is_store_away: Callable[[], float]
     live_members: Callable[[], float]
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -228,6 +228,13 @@
         """Answer another VM's request for a table."""
         return respond_to_peer(self._update_since_by_table, request)
 
+    def describe_configuration_age(self) -> dict[str, Any]:
+        """Return the fields of a log line on the age of the configuration."""
+        return {
+            "is_configuration_behind": self.is_configuration_behind,
+            "configuration_confirmed_ago_ms": int(self.configuration.confirmed_ago),
+        }
+
     def dump_configuration(self) -> dict[str, Any]:
         """Return the state of the configuration's table as JSON data."""
         return {"version": self._routes.version} | _dump(self.configuration)
