Derive the times of reads from the time in which changes must arrive

Cause: a long poll of 2.5 s was given up 2 s after the store should have ended it, and a copy counted as the newest one for 5 s, whatever bound the operator names.

Change: poll, silence and age of a confirmation follow from configApplyMs and drainTimeoutMs, so that the longest time without news is the bound itself. A silent read is repeated at once on a new connection, with more time, and counts as an outage only if that is silent too. Answers without changes are announced at once, and a VM reads itself when nobody confirms its copy. A start whose bound can't be met says so. Ruled out: news lost between VMs (one zone's silent reads alone held before as well).

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -21,6 +21,7 @@
 from .messages import (
     NEVER_FAILED_MS,
     NO_VERSION,
+    READ_TIMEOUT_MS,
     HistoryLost,
     StoreVersion,
     TableError,
@@ -30,18 +31,13 @@
     TableUpdate,
 )
 from .peer_fetches import FetchFromPeer, PeerFetches
-from .readers import ANNOUNCE_INTERVAL_MS, needs_own_read
+from .poll_timing import LONGEST_POLL_MS, PROMPT_ANSWER_MS, PollTiming
+from .readers import ANNOUNCE_INTERVAL_MS
 
 SHORT_POLL_MS: Final = 1.0
 """Time after which the store answers a VM that needs to know at once."""
-MAX_CONFIRMATION_AGE_MS: Final = 5_000.0
-"""Age from which a VM no longer takes its copy for the newest one. In a fleet without
-failures it is below the time of a long poll and of two announcements."""
 NEVER_CONFIRMED_MS: Final = 1e9
 """``confirmed_ago`` of a copy that the store has not confirmed yet."""
-LONG_POLL_MS: Final = 2_500.0
-"""Time after which the store ends a long poll without changes. A poll whose connection
-went silent is given up that much later, and may be that of all readers."""
 INITIAL_BACKOFF_MS: Final = 100.0
 """Delay before the first retry, before jitter; it doubles with every further one."""
 MAX_BACKOFF_MS: Final = 2_000.0
@@ -88,12 +84,14 @@
     startup_delay : float
         Time in milliseconds after the start in which the VM does not read a shared
         table itself, as readers tell of it.
+    timing : PollTiming
     """
 
     table: str
     coalescing_delay: Millis
     is_shared: bool = False
     startup_delay: Millis = 0.0
+    timing: PollTiming = PollTiming(LONGEST_POLL_MS)
 
 
 class TableFollower:
@@ -145,7 +143,12 @@
         self._on_restored = on_restored
         self._is_designated_reader = is_designated_reader
         self._broadcast = broadcast
-        self._reader_seen_at: Millis = -math.inf
+        # Latest time at which a reader is known to have heard of the store.
+        self._reader_heard_at: Millis = -math.inf
+        self._announced_at: Millis = -math.inf
+        # Whether the store's latest answer came in ``PROMPT_ANSWER_MS``.
+        self._is_store_prompt = False
+        self._answer_due_at: Millis = -math.inf
         self._starts_reading_at: Millis = -math.inf
         # Whether the pending read is to return news that other VMs have not sent.
         self._is_news_read = False
@@ -192,7 +195,8 @@
     @property
     def is_confirmed(self) -> bool:
         """Whether the store lately had no changes that this copy lacks."""
-        return not self.is_behind and self.confirmed_ago <= MAX_CONFIRMATION_AGE_MS
+        max_age = self._settings.timing.max_confirmation_age
+        return not self.is_behind and self.confirmed_ago <= max_age
 
     @property
     def confirmed_ago(self) -> Millis:
@@ -225,8 +229,8 @@
         delay = self._settings.startup_delay
         if delay:
             # A VM that is no reader then waits for the first notice.
-            self._reader_seen_at = self._loop.clock.now() + delay
-            self._starts_reading_at = self._reader_seen_at
+            self._reader_heard_at = self._loop.clock.now() + delay
+            self._starts_reading_at = self._reader_heard_at
         else:
             self._read()
         if self._settings.is_shared:
@@ -261,7 +265,7 @@
         """Record until when the store had no changes that this copy lacks."""
         age = notice.confirmed_ago
         if age is None:
-            age = LONG_POLL_MS
+            age = LONGEST_POLL_MS
         self._confirmed_at = max(self._confirmed_at, self._loop.clock.now() - age)
 
     def on_notice(self, address: str, notice: TableNotice) -> None:
@@ -269,7 +273,9 @@
 
         A VM that reads the table itself fetches only if its read is late.
         """
-        now = self._reader_seen_at = self._loop.clock.now()
+        now = self._loop.clock.now()
+        heard_at = now - (notice.confirmed_ago or 0.0)
+        self._reader_heard_at = max(self._reader_heard_at, heard_at)
         self._peers.on_version(address, notice.version)
         if notice.failed_ago < NEVER_FAILED_MS:
             self.failed_at = max(self.failed_at or 0.0, now - notice.failed_ago)
@@ -350,7 +356,7 @@
         return TableUpdate(self.version, rows, False, self.last_change_version)
 
     def _update_reader_role(self) -> None:
-        """Start or stop reading a shared table, as ``needs_own_read`` decides."""
+        """Start or stop reading a shared table, as ``_needs_own_read`` decides."""
         needs_read = self._needs_own_read()
         if needs_read and not self._is_reading:
             self._read()
@@ -366,8 +372,10 @@
         now = self._loop.clock.now()
         if now < self._starts_reading_at:
             return False
-        return not self._settings.is_shared or needs_own_read(
-            self._is_designated_reader(), self._reader_seen_at, now
+        return (
+            not self._settings.is_shared
+            or self._is_designated_reader()
+            or now - self._reader_heard_at > self._settings.timing.reader_timeout
         )
 
     def _stop_reading(self) -> None:
@@ -381,12 +389,19 @@
             self._timer.cancel()
 
     def _broadcast_version(self) -> None:
+        """Announce the version of this copy unless that was done lately."""
         if (
             self._is_reading
             and self._is_designated_reader()
             and not self.is_store_unavailable
+            and self._loop.clock.now() - self._announced_at
+            >= 0.5 * ANNOUNCE_INTERVAL_MS
         ):
-            self._broadcast(self._make_notice(self.last_change_version, ()))
+            self._announce()
+
+    def _announce(self) -> None:
+        self._announced_at = self._loop.clock.now()
+        self._broadcast(self._make_notice(self.last_change_version, ()))
 
     def _make_notice(
         self, version: StoreVersion, rows: tuple[TableRow, ...]
@@ -426,12 +441,13 @@
 
         A copy whose confirmation would get too old meanwhile needs an answer at once.
         """
-        has_time = self.confirmed_ago + LONG_POLL_MS <= MAX_CONFIRMATION_AGE_MS
-        self._start_read(LONG_POLL_MS if has_time else SHORT_POLL_MS)
+        timing = self._settings.timing
+        has_time = self.confirmed_ago + timing.poll <= timing.max_confirmation_age
+        self._start_read(timing.poll if has_time else SHORT_POLL_MS)
 
     def _poll(self) -> None:
         """Start the read after one that was answered."""
-        self._start_read(LONG_POLL_MS)
+        self._start_read(self._settings.timing.poll)
 
     def _start_read(self, wait: Millis) -> None:
         """Start a read; an earlier pending one no longer counts, unless it has news."""
@@ -450,14 +466,25 @@
 
         self._reads_after = self.version
         table = self._settings.table
+        limit = PROMPT_ANSWER_MS if self._is_store_prompt else READ_TIMEOUT_MS
         if self._needs_full_read:
-            self._source.read_all(table, done)
+            wait = 0.0
+            self._source.read_all(table, done, limit)
         else:
-            self._source.read_changes(table, self.version, wait, done)
+            self._source.read_changes(table, self.version, wait, done, limit)
+        self._answer_due_at = self._loop.clock.now() + wait + PROMPT_ANSWER_MS
 
     def _on_result(self, result: Result[TableUpdate | HistoryLost, TableError]) -> None:
+        was_prompt = self._is_store_prompt
+        self._is_store_prompt = (
+            result.is_ok() and self._loop.clock.now() <= self._answer_due_at
+        )
         if isinstance(result, Err):
-            self._on_error(result.err_value)
+            error = result.err_value
+            if was_prompt and error.has_timed_out:
+                self._replace_silent_read(error)
+            else:
+                self._on_error(error)
             return
         if self.is_store_unavailable:
             self.is_store_unavailable = False
@@ -486,6 +513,18 @@
                     # Reads go on also after a failure of a listener.
                     self._continue_reading(update, is_first)
 
+    def _replace_silent_read(self, error: TableError) -> None:
+        """Read again at once on a new connection, with more time for the answer.
+
+        The connection may be dead and the store well.
+        """
+        log.info(
+            "nothing was heard of a read from the store; reading again",
+            table=self._settings.table,
+            error=error.text,
+        )
+        self._read()
+
     def _continue_reading(self, update: TableUpdate, is_first: bool) -> None:
         """Schedule the read after one that returned ``update``."""
         self._is_news_read = False
@@ -510,10 +549,15 @@
                 return
 
     def _broadcast_update(self, update: TableUpdate) -> None:
-        """Broadcast the rows that were read, or only the version of a large update."""
-        if not (
-            self._settings.is_shared and update.rows and self._is_designated_reader()
-        ):
+        """Broadcast the rows that were read, or only the version of a large update.
+
+        An answer without changes confirms the copies of the other VMs.
+        """
+        if not (self._settings.is_shared and self._is_designated_reader()):
+            return
+        if not update.rows:
+            if not update.is_snapshot:
+                self._announce()
             return
         size = sum(len(row.value or b"") for row in update.rows)
         fits_notice = (
--- a/src/galenaferry/discovery/messages.py
+++ b/src/galenaferry/discovery/messages.py
@@ -42,6 +42,9 @@
     return StoreVersion(encoded >> ERA_SHIFT, encoded & ((1 << ERA_SHIFT) - 1))
 
 
+READ_TIMEOUT_MS: Final = 2_000.0
+"""Timeout of a read; the store responds in 4 ms, or 60 times that when it is slow."""
+
 NO_VERSION: Final = StoreVersion(0, 0)
 """Version before the first read."""
 
@@ -114,9 +117,13 @@
 
 
 class TableError(NamedTuple):
-    """A read from the store or from another VM failed; ``text`` is the reason."""
+    """A read from the store or from another VM failed.
+
+    ``text`` is the reason, and ``has_timed_out`` whether nothing was heard in time.
+    """
 
     text: str
+    has_timed_out: bool = False
 
 
 TableUpdateCallback = Callable[[Result[TableUpdate | HistoryLost, TableError]], None]
@@ -125,8 +132,16 @@
 class TableSource(Protocol):
     """Asynchronous reads from the platform's store."""
 
-    def read_all(self, table: str, done: TableUpdateCallback) -> None:
-        """Read all rows of ``table``."""
+    def read_all(
+        self,
+        table: str,
+        done: TableUpdateCallback,
+        answer_within: Millis = READ_TIMEOUT_MS,
+    ) -> None:
+        """Read all rows of ``table``.
+
+        The read fails if nothing of the answer arrives within ``answer_within`` ms.
+        """
 
     def read_changes(
         self,
@@ -134,5 +149,9 @@
         after: StoreVersion,
         wait: Millis,
         done: TableUpdateCallback,
+        answer_within: Millis = READ_TIMEOUT_MS,
     ) -> None:
-        """Read the changes after a version, waiting up to ``wait`` ms for one."""
+        """Read the changes after a version, waiting up to ``wait`` ms for one.
+
+        ``answer_within`` is as for ``read_all``, from the end of ``wait`` on.
+        """
--- a/src/galenaferry/discovery/readers.py
+++ b/src/galenaferry/discovery/readers.py
@@ -14,7 +14,6 @@
 
 import xxhash
 
-from ..clock import Millis
 from ..membership.messages import Member
 
 MAX_RANKED_VMS: Final = 8_192
@@ -25,10 +24,6 @@
 the VMs is cut off at once, the chance that all six are among them is 1 in 700."""
 ANNOUNCE_INTERVAL_MS: Final = 1_000.0
 """Interval at which a reader broadcasts its version, so that others see it read."""
-READER_TIMEOUT_MS: Final = 1_500.0
-"""Time without a notice from any reader after which a VM reads the store itself. New
-requests to a draining instance must stop within 2 s (``NodeSettings.drain_timeout``),
-of which this leaves half a second."""
 
 
 def is_reader(me: Member, live: Iterable[Member]) -> bool:
@@ -87,16 +82,6 @@
     return 0, rank_of(member.address)
 
 
-def needs_own_read(
-    is_designated_reader: bool, reader_seen_at: Millis, now: Millis
-) -> bool:
-    """Whether this VM has to read a table from the store itself.
-
-    ``reader_seen_at`` is the time of the last notice from a reader.
-    """
-    return is_designated_reader or now - reader_seen_at > READER_TIMEOUT_MS
-
-
 @lru_cache(maxsize=MAX_RANKED_VMS)
 def rank_of(address: str) -> int:
     """Return the rank of the VM at an address, the same on all VMs; lower is better."""
--- a/src/galenaferry/discovery/tests/builders.py
+++ b/src/galenaferry/discovery/tests/builders.py
@@ -7,6 +7,7 @@
 from galenaferry.clock import FakeClock
 from galenaferry.discovery.follower import FollowerSettings, TableFollower
 from galenaferry.discovery.messages import (
+    READ_TIMEOUT_MS,
     HistoryLost,
     StoreVersion,
     TableError,
@@ -31,13 +32,17 @@
     def __init__(self):
         self.calls = []
         self.waits = []
+        self.limits = []
 
-    def read_all(self, table, done):
+    def read_all(self, table, done, answer_within=READ_TIMEOUT_MS):
         self.calls.append(("all", None, done))
+        self.waits.append(0.0)
+        self.limits.append(answer_within)
 
-    def read_changes(self, table, after, wait, done):
+    def read_changes(self, table, after, wait, done, answer_within=READ_TIMEOUT_MS):
         self.calls.append(("changes", after, done))
         self.waits.append(wait)
+        self.limits.append(answer_within)
 
     def answer(self, update):
         self.calls[-1][2](Ok(update))
@@ -45,6 +50,9 @@
     def lose_history(self):
         self.calls[-1][2](Ok(HistoryLost()))
 
+    def time_out(self):
+        self.calls[-1][2](Err(TableError("no answer in time", has_timed_out=True)))
+
     def fail(self):
         self.calls[-1][2](Err(TableError("status 503")))
 
--- a/src/galenaferry/discovery/tests/test_confirmation.py
+++ b/src/galenaferry/discovery/tests/test_confirmation.py
@@ -1,7 +1,6 @@
 """Until when a copy of a table is known to be the newest one."""
 
 from galenaferry.discovery.follower import (
-    MAX_CONFIRMATION_AGE_MS,
     NEVER_CONFIRMED_MS,
 )
 from galenaferry.discovery.messages import TableNotice
@@ -9,12 +8,15 @@
 from galenaferry.discovery.tests.builders import FollowerBench, at, table_update
 from galenaferry.discovery.tests.test_news import refuse_fetches
 from galenaferry.discovery.tests.test_shared_table import (
+    TIMING,
     TWO,
     deliver_notices,
     make_non_reader,
     make_reader,
 )
 
+MAX_AGE_MS = TIMING.max_confirmation_age
+
 
 def is_confirmed_after(interval, notice=None):
     """Return whether a VM without news of the store takes its copy for the newest."""
@@ -26,12 +28,12 @@
 
 
 def test_a_copy_is_not_taken_for_the_newest_without_news_of_the_store():
-    assert is_confirmed_after(MAX_CONFIRMATION_AGE_MS - 1_500.0)
-    assert not is_confirmed_after(MAX_CONFIRMATION_AGE_MS + 10.0)
+    assert is_confirmed_after(MAX_AGE_MS - 1_500.0)
+    assert not is_confirmed_after(MAX_AGE_MS + 10.0)
 
 
 def test_a_reader_whose_reads_hang_does_not_confirm_the_copies_of_others():
-    waiting = 2.0 * MAX_CONFIRMATION_AGE_MS
+    waiting = 2.0 * MAX_AGE_MS
     notice = TableNotice(at(10), at(10), (), confirmed_ago=300.0)
     assert is_confirmed_after(waiting, notice)
     assert not is_confirmed_after(waiting, notice._replace(confirmed_ago=waiting))
@@ -56,7 +58,7 @@
     bench = make_reader()
     notice = TableNotice(at(10), at(12), TWO, confirmed_ago=0.0)
     bench.follower.on_notice("10.0.9.1:7000", notice)
-    bench.run_for(MAX_CONFIRMATION_AGE_MS + 10.0)
+    bench.run_for(MAX_AGE_MS + 10.0)
     bench.source.answer(table_update(11))
     assert not bench.follower.is_confirmed
     bench.run_for(10.0)
--- a/src/galenaferry/discovery/tests/test_restored_store.py
+++ b/src/galenaferry/discovery/tests/test_restored_store.py
@@ -8,17 +8,18 @@
 
 from galenaferry.clock import FakeClock
 from galenaferry.discovery.follower import (
-    LONG_POLL_MS,
     FollowerSettings,
     TableFollower,
 )
 from galenaferry.discovery.messages import (
+    READ_TIMEOUT_MS,
     HistoryLost,
     StoreVersion,
     TableError,
     TableRow,
     TableUpdate,
 )
+from galenaferry.discovery.poll_timing import LONGEST_POLL_MS
 from galenaferry.network.loop import Loop
 
 VM_COUNT = 4
@@ -51,10 +52,10 @@
         self.value_by_key, self.counter_by_key = dict(values), dict(counters)
         self.era += 1
 
-    def read_all(self, table, done):
+    def read_all(self, table, done, answer_within=READ_TIMEOUT_MS):
         self._loop.after(LATENCY_MS, lambda: self._finish_read_all(done))
 
-    def read_changes(self, table, after, wait, done):
+    def read_changes(self, table, after, wait, done, answer_within=READ_TIMEOUT_MS):
         self._loop.after(LATENCY_MS, lambda: self._start_poll(after, wait, done))
 
     def _finish_read_all(self, done):
@@ -207,7 +208,7 @@
     fleet.loss = 0.0
     fleet.store.put("last", b"x")
     # The store may hold a long poll from before the restore until its time is over.
-    fleet.run_for(LONG_POLL_MS + 4_000.0, step=25.0)
+    fleet.run_for(LONGEST_POLL_MS + 4_000.0, step=25.0)
     expected = {k: v for k, v in fleet.store.value_by_key.items() if v is not None}
     for follower in fleet.followers:
         assert follower.value_by_key == expected
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -12,9 +12,9 @@
 from galenaferry.discovery.history import TableHistory
 from galenaferry.discovery.messages import TableError, TableNotice, TableRow
 from galenaferry.discovery.peer_fetches import FETCH_SPREAD_MS
+from galenaferry.discovery.poll_timing import LONGEST_POLL_MS, PollTiming
 from galenaferry.discovery.readers import (
     MIN_READERS,
-    READER_TIMEOUT_MS,
     READERS_PER_ZONE,
     is_reader,
     link_class_of,
@@ -24,6 +24,7 @@
 
 ONE = (TableRow("config", b"one"),)
 TWO = (TableRow("config", b"two"),)
+TIMING = PollTiming(LONGEST_POLL_MS)
 
 
 ZONES = ("north", "middle", "south", "east", "west")
@@ -179,7 +180,7 @@
 def test_vm_without_notices_reads_the_store_until_they_return():
     bench = make_non_reader()
     calls = len(bench.source.calls)
-    bench.run_for(READER_TIMEOUT_MS + 300.0)
+    bench.run_for(TIMING.reader_timeout + 300.0)
     assert len(bench.source.calls) == calls + 1
     deliver_notices(bench, 1_000.0)
     bench.source.answer(table_update(13, config=b"two"))
@@ -284,7 +285,7 @@
 def test_a_vm_of_a_first_start_reads_if_no_reader_tells():
     bench = FollowerBench(is_shared=True, startup_delay=1_000.0)
     bench.is_designated_reader = False
-    bench.run_for(1_000.0 + READER_TIMEOUT_MS + 300.0)
+    bench.run_for(1_000.0 + TIMING.reader_timeout + 300.0)
     assert len(bench.source.calls) == 1
 
 
@@ -326,8 +327,8 @@
     assert [call[0] for call in bench.source.calls] == ["all"]
 
 
-def make_reader():
-    bench = FollowerBench(is_shared=True)
+def make_reader(**settings):
+    bench = FollowerBench(is_shared=True, **settings)
     bench.source.answer(table_update(10, True, config=b"one"))
     bench.run_for(ROLE_DELAY_MS + 5.0)
     bench.notices.clear()
--- a/src/galenaferry/network/fetch.py
+++ b/src/galenaferry/network/fetch.py
@@ -49,11 +49,13 @@
     """The request failed without a complete response.
 
     ``may_have_run`` is whether the server may have executed the request; it is
-    False only if no byte was sent.
+    False only if no byte was sent. ``has_timed_out`` is whether one of its times ran
+    out.
     """
 
     text: str
     may_have_run: bool
+    has_timed_out: bool = False
 
 
 FetchResult = Result[FetchResponse, FetchError]
@@ -143,7 +145,8 @@
 
     def _check_connected(self) -> None:
         if not self._is_connected:
-            self._fail(f"no connection within {self._request.connect_timeout:.0f} ms")
+            text = f"no connection within {self._request.connect_timeout:.0f} ms"
+            self._fail(text, has_timed_out=True)
 
     def _on_timeout(self) -> None:
         now = self._loop.clock.now()
@@ -156,10 +159,12 @@
                 self._timer = self._loop.after(ends_at - now, self._on_timeout)
                 return
         took = now - self._started_at
-        self._fail(f"no answer within {took:.0f} ms, {self._size} bytes received")
+        text = f"no answer within {took:.0f} ms, {self._size} bytes received"
+        self._fail(text, has_timed_out=True)
 
-    def _fail(self, text: str) -> None:
-        self._finish(Err(FetchError(text, self._stream.bytes_sent > 0)))
+    def _fail(self, text: str, has_timed_out: bool = False) -> None:
+        may_have_run = self._stream.bytes_sent > 0
+        self._finish(Err(FetchError(text, may_have_run, has_timed_out)))
 
     def _finish(self, result: FetchResult) -> None:
         if self._is_done:
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -172,6 +172,7 @@
             random,
             settings.is_first_start,
             settings.configuration_timeout,
+            settings.drain_timeout,
         )
         self.tables.add_peer_table(
             adapter.tables.blocked_requests, self.crashes.table.update_since
--- a/src/galenaferry/node/settings.py
+++ b/src/galenaferry/node/settings.py
@@ -18,10 +18,10 @@
     ``relay`` is the address at which it takes requests of other VMs, None for none.
     ``seeds`` are the addresses of VMs to contact first, and ``store`` is the address
     of the platform's store. ``drain_timeout`` is the time after which a draining
-    instance must get no new requests. The intervals of reads and notices are constants
-    that assume 2 s or more. ``grace_period`` is the time from the request
-    to stop to the end of the process. ``floor_share`` is the share of a service's
-    instances without recent failures that always stays eligible for requests.
+    instance must get no new requests; the times of reads from the store are derived
+    from it and from ``configuration_timeout``. ``grace_period`` is the time from the
+    request to stop to the end of the process. ``floor_share`` is the share of a
+    service's instances without recent failures that always stays eligible for requests.
     ``budget`` limits the retries of the whole fleet.
     ``is_first_start`` is set if the fleet as a whole has never run before.
     ``link_rate`` is the bandwidth of the VM's link in bytes per millisecond, 0 if it is
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -15,7 +15,9 @@
     decode_version,
 )
 from ..discovery.peer_updates import fetch_from_peer, respond_to_peer
+from ..discovery.poll_timing import PollTiming, derive_poll_timing
 from ..discovery.registry import StoreAvailability
+from ..logs import logger
 from ..membership.messages import Heartbeat
 from ..network.json_server import JsonRequest, JsonResponse
 from ..network.loop import Loop
@@ -35,6 +37,8 @@
 """Changes within this time are read in one call. 400 ms is a fifth of the 2 s after
 which a draining instance must get no new requests (``NodeSettings.drain_timeout``)."""
 
+log = logger("discovery")
+
 
 class FleetAccess(NamedTuple):
     """How the tables reach the other VMs.
@@ -79,6 +83,8 @@
     configuration_timeout : float
         Time in milliseconds within which a change of the configuration must be in
         force.
+    drain_timeout : float
+        Time in milliseconds after which a draining instance must get no new requests.
     """
 
     def __init__(
@@ -91,6 +97,7 @@
         random: Random,
         is_first_start: bool,
         configuration_timeout: Millis,
+        drain_timeout: Millis,
     ) -> None:
         self._outdated_after = max(0.0, configuration_timeout - NEWS_DELAY_MS)
         self._loop = loop
@@ -110,6 +117,9 @@
                 CONFIGURATION_COALESCING_MS,
                 is_shared=True,
                 startup_delay=startup_delay,
+                timing=_derive_timing(
+                    adapter.tables.configuration, configuration_timeout
+                ),
             ),
             adapter.store,
             self._fetch_from_peer,
@@ -127,6 +137,7 @@
                 INSTANCES_COALESCING_MS,
                 is_shared=True,
                 startup_delay=startup_delay,
+                timing=_derive_timing(adapter.tables.instances, drain_timeout),
             ),
             adapter.store,
             self._fetch_from_peer,
@@ -268,6 +279,19 @@
         fetch_from_peer(self._loop, address, table, after, done)
 
 
+def _derive_timing(table: str, bound: Millis) -> PollTiming:
+    """Return the times of the reads of a table; log if they can't meet the bound."""
+    timing = derive_poll_timing(bound)
+    if not timing.meets(bound):
+        log.warning(
+            "changes of a table may become known too late",
+            table=table,
+            bound_ms=bound,
+            longest_ms=timing.longest_without_news,
+        )
+    return timing
+
+
 def _dump(follower: TableFollower) -> dict[str, Any]:
     return {
         "store_version": follower.version.counter,
--- a/src/galenaferry/node/tests/configuration_fleet.py
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -218,6 +218,7 @@
             Random(number),
             is_first_start=False,
             configuration_timeout=fleet.configuration_timeout,
+            drain_timeout=fleet.configuration_timeout,
         )
 
     def respond(self, request, respond):
--- a/src/galenaferry/platform/store.py
+++ b/src/galenaferry/platform/store.py
@@ -13,6 +13,7 @@
     MAX_COUNTER,
     MAX_ERA,
     NO_VERSION,
+    READ_TIMEOUT_MS,
     HistoryLost,
     StoreVersion,
     TableError,
@@ -27,8 +28,7 @@
 from ..network.loop import Loop
 from ..numbers import parse_whole_number
 
-TIMEOUT_MS: Final = 2_000.0
-"""Timeout of a call; the store responds in 4 ms, or 60 times that when it is slow."""
+WRITE_TIMEOUT_MS: Final = 2_000.0
 CONNECT_TIMEOUT_MS: Final = 1_500.0
 """Time for a connection to the store, in which a lost SYN packet is repeated once."""
 STALL_TIMEOUT_MS: Final = 1_000.0
@@ -72,9 +72,14 @@
         """Use another address for all later calls."""
         self._address = address
 
-    def read_all(self, table: str, done: TableUpdateCallback) -> None:
+    def read_all(
+        self,
+        table: str,
+        done: TableUpdateCallback,
+        answer_within: Millis = READ_TIMEOUT_MS,
+    ) -> None:
         """Read all rows of a table, page by page."""
-        self._read_page(table, "", None, [], NO_VERSION, done)
+        self._read_page(table, "", None, [], NO_VERSION, done, answer_within)
 
     def read_changes(
         self,
@@ -82,6 +87,7 @@
         after: StoreVersion,
         wait: Millis,
         done: TableUpdateCallback,
+        answer_within: Millis = READ_TIMEOUT_MS,
     ) -> None:
         """Read the changes after a version; wait for the first one if needed.
 
@@ -100,7 +106,7 @@
                     update = Err(TableError(f"response of era {era}"))
             done(update)
 
-        self._get("/rows-feed", query, wait + TIMEOUT_MS, finish)
+        self._get("/rows-feed", query, wait + answer_within, finish)
 
     def put(
         self, table: str, key: str, value: bytes, done: Callable[[str], None]
@@ -131,7 +137,7 @@
             "/rows-tx",
             ((b"content-type", b"application/json"),),
             json.dumps(body).encode(),
-            TIMEOUT_MS,
+            WRITE_TIMEOUT_MS,
         )
 
         def finish(result: FetchResult) -> None:
@@ -151,6 +157,7 @@
         rows: list[TableRow],
         last_change_before: StoreVersion,
         done: TableUpdateCallback,
+        answer_within: Millis,
     ) -> None:
         """Read the rows from a key on.
 
@@ -175,17 +182,20 @@
                 # The start of a range is inclusive. No key sorts between the last
                 # one and the same key with a zero byte appended.
                 start = found[-1].key + "\0"
-                self._read_page(table, start, version.era, rows, last_change, done)
+                self._read_page(
+                    table, start, version.era, rows, last_change, done, answer_within
+                )
             else:
                 done(Ok(TableUpdate(version, tuple(rows), True, last_change)))
 
-        self._get("/rows-get", query, TIMEOUT_MS, finish)
+        self._get("/rows-get", query, answer_within, finish)
 
     def _parse_response(
         self, result: FetchResult, parse: Callable[[FetchResponse, int], Any]
     ) -> Result[Any, TableError]:
         if isinstance(result, Err):
-            return Err(TableError(result.err_value.text))
+            error = result.err_value
+            return Err(TableError(error.text, error.has_timed_out))
         response = result.ok_value
         era = self._read_era(response)
         if isinstance(era, Err):
