Let a VM that has just started reject no route before it knows of other VMs

Cause: what the store says counts as confirmed from the first read on, while all other VMs have a newer configuration in force, of which the VM hears within a second.

--- a/src/galenaferry/node/configuration.py
+++ b/src/galenaferry/node/configuration.py
@@ -29,6 +29,8 @@
 """Name under which VMs give each other the configuration in force on them."""
 FETCH_DELAY_MS: Final[Millis] = 250.0
 """Time in which this VM's own copy of the table should have the same version."""
+FIRST_NEWS_MS: Final[Millis] = 3_000.0
+"""Time after a VM's start in which other VMs tell it what they have in force."""
 REPEATED_WITHIN_MS: Final[Millis] = 3_000.0
 """Time within which readers' notices and heartbeats repeat a version in force."""
 
@@ -137,6 +139,17 @@
         self._on_rows = on_rows
         self._is_pending = False
         self._news = News(0)
+        self._started_at = loop.clock.now()
+        self._has_heard = False
+
+    @property
+    def knows_others(self) -> bool:
+        """Whether other VMs have told what they have in force, or there are none.
+
+        The store may have been restored from a copy that is older than that.
+        """
+        is_alone = self._loop.clock.now() - self._started_at >= FIRST_NEWS_MS
+        return self._has_heard or is_alone
 
     @property
     def is_behind(self) -> bool:
@@ -159,6 +172,7 @@
     def on_peer_version(self, address: str, version: int) -> None:
         """Handle the version that the VM at ``address`` has in force."""
         self._news.on_version(version, self._loop.clock.now())
+        self._has_heard = self._has_heard or version > 0
         if version <= self._version_in_force() or self._is_pending:
             return
         self._is_pending = True
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -186,7 +186,9 @@
     def is_configuration_current(self) -> bool:
         """Whether this VM is sure that its configuration is the newest one."""
         return (
-            self.configuration.is_confirmed and not self._peer_configurations.is_behind
+            self.configuration.is_confirmed
+            and self._peer_configurations.knows_others
+            and not self._peer_configurations.is_behind
         )
 
     @property
--- a/src/galenaferry/node/tests/test_configuration_fleet.py
+++ b/src/galenaferry/node/tests/test_configuration_fleet.py
@@ -162,3 +162,48 @@
         fleet.run(20.0)
         unsure = [vm for vm in others if vm.routes.route(unknown) != NoRoute()]
         assert unsure == []
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_vm_that_starts_before_a_store_restored_from_a_copy_does_not_reject_callers(
+    monkeypatch, seed
+):
+    fleet = make_fleet(monkeypatch, seed=seed)
+    older = fleet.store.value
+    fleet.change(5, 30)
+    fleet.run(4_000.0)
+    # The store lacks the change again, which all VMs have in force.
+    fleet.store.put(older)
+    fleet.run(4_000.0)
+    head = fleet.head_of_new_route
+    for number in range(6):
+        # Not at the moment of the announcements.
+        fleet.run(130.0 * seed)
+        started = fleet.restart(fleet.vms[number])
+        for _ in range(100):
+            fleet.run(10.0)
+            assert started.routes.route(head) != NoRoute()
+        fleet.run(2_000.0)
+        assert started.routes.version == 5
+
+
+def test_a_vm_that_starts_says_that_there_is_no_route_once_it_knows_of_others(
+    monkeypatch,
+):
+    fleet = make_fleet(monkeypatch)
+    started = fleet.restart(fleet.vms[3])
+    fleet.run(3_000.0)
+    unknown = fleet.head_of_new_route._replace(target=b"/none/")
+    assert started.routes.route(unknown) == NoRoute()
+
+
+def test_a_vm_alone_says_that_there_is_no_route_some_seconds_after_its_start(
+    monkeypatch,
+):
+    fleet = make_fleet(monkeypatch, vms=3, zones=1)
+    started = fleet.restart(fleet.vms[0])
+    for vm in fleet.vms[1:]:
+        vm.is_stopped = True
+    fleet.run(3_500.0)
+    unknown = fleet.head_of_new_route._replace(target=b"/none/")
+    assert started.routes.route(unknown) == NoRoute()
