Let the soak silence all connections to the store before changes

Half of the configuration changes of a run come while the open connections of all VMs to the store have been silent for up to 0.4 s; nothing is excused for it. A generator of its own draws them.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -53,6 +53,12 @@
         """End the fault; connections that drop bytes keep dropping them."""
         self.fault = ""
 
+    def silence_open(self) -> None:
+        """Let the open connections drop all further bytes; new ones work."""
+        for pair in self._pairs:
+            if pair.is_open:
+                pair.drop_bytes(both_ways=True)
+
     def go_down(self) -> None:
         """Close all connections and refuse new ones, as when a process crashed."""
         self._listener.close()
--- a/soak/run.py
+++ b/soak/run.py
@@ -50,6 +50,8 @@
 RESTART_MS = 1_500.0
 """Time after which an instance that crashed is back."""
 STORE_TOLD_LATE_MS = 4_000.0
+MAX_SILENCE_MS = 400.0
+"""Longest time for which the connections to the store are silent before a change."""
 STORE_FAULTS = ("refuse", "silent", "lose")
 
 
@@ -65,6 +67,7 @@
         # Frequent store faults would excuse nearly all timing violations, so only even
         # seeds have them.
         self._has_store_faults = seed % 2 == 0
+        self._silence_random = Random(seed)
         self.root = Component()
         self.loop = Loop()
         self.loop.register(self.root)
@@ -190,7 +193,20 @@
                 self._limit_instance(instance, duration_ms * 3.0)
             # 3 and 11 get here in runs without store faults.
             case 3 | 10 | 11:
-                self._write_configuration(self.random.choice(("one", "two")))
+                self._change_configuration(self.random.choice(("one", "two")))
+
+    def _change_configuration(self, service: str) -> None:
+        """Write a configuration, in half of the cases to VMs that hear nothing of it.
+
+        Their open connections to the store go silent before. That excuses nothing.
+        """
+        if self._silence_random.random() < 0.5:
+            self._write_configuration(service)
+            return
+        self.injected_faults.append("open connections to the store silent")
+        self.proxy_by_name["store"].silence_open()
+        delay_ms = MAX_SILENCE_MS * self._silence_random.random()
+        self.loop.after(delay_ms, lambda: self._write_configuration(service))
 
     def _signal_vm(
         self, vm: Vm, signal_number: signal.Signals, duration_ms: float
