--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -148,7 +148,8 @@
         self._announced_at: Millis = -math.inf
         # Whether the store's latest answer came in ``PROMPT_ANSWER_MS``.
         self._is_store_prompt = False
-        self._answer_due_at: Millis = -math.inf
+        self._read_started_at: Millis = -math.inf
+        self._read_wait: Millis = 0.0
         self._starts_reading_at: Millis = -math.inf
         # Whether the pending read is to return news that other VMs have not sent.
         self._is_news_read = False
@@ -480,12 +481,14 @@
             self._source.read_all(table, done, limit)
         else:
             self._source.read_changes(table, self.version, wait, done, limit)
-        self._answer_due_at = self._loop.clock.now() + wait + PROMPT_ANSWER_MS
+        self._read_started_at = self._loop.clock.now()
+        self._read_wait = wait
 
     def _on_result(self, result: Result[TableUpdate | HistoryLost, TableError]) -> None:
         was_prompt = self._is_store_prompt
+        took = self._loop.clock.now() - self._read_started_at
         self._is_store_prompt = (
-            result.is_ok() and self._loop.clock.now() <= self._answer_due_at
+            result.is_ok() and took <= self._read_wait + PROMPT_ANSWER_MS
         )
         if isinstance(result, Err):
             error = result.err_value
@@ -511,7 +514,8 @@
                 self._needs_full_read = False
                 self._read_version = update.version
                 if update.version >= self.version:
-                    self._confirmed_at = self._loop.clock.now()
+                    answered_at = self._answered_at(update)
+                    self._confirmed_at = max(self._confirmed_at, answered_at)
                 is_first = not self.is_loaded
                 # The notice starts at ``last_change_version``, which ``_apply`` sets.
                 try:
@@ -521,6 +525,19 @@
                     # Reads go on also after a failure of a listener.
                     self._continue_reading(update, is_first)
 
+    def _answered_at(self, update: TableUpdate) -> Millis:
+        """Return a time before which the store did not send its answer.
+
+        This VM may read the answer late, when its processor is busy.
+        """
+        if update.is_snapshot:
+            return self._read_started_at
+        now = self._loop.clock.now()
+        if update.rows:
+            return max(self._read_started_at, now - PROMPT_ANSWER_MS)
+        # The store has waited for changes.
+        return min(now, self._read_started_at + self._read_wait)
+
     def _replace_silent_read(self, error: TableError) -> None:
         """Read again at once on a new connection, with more time for the answer.
 
--- a/src/galenaferry/discovery/tests/test_confirmation.py
+++ b/src/galenaferry/discovery/tests/test_confirmation.py
@@ -89,3 +89,13 @@
     assert bench.follower.confirmed_ago == 0.0
     bench.run_for(700.0)
     assert bench.follower.confirmed_ago == 700.0
+
+
+def test_an_answer_that_a_busy_vm_reads_late_confirms_only_until_it_was_sent():
+    bench = make_reader()
+    wait = bench.source.waits[-1]
+    # The process stands still while the answer arrives.
+    bench.clock.advance(wait + 900.0)
+    bench.source.answer(table_update(10))
+    assert bench.follower.confirmed_ago >= 900.0
+    assert bench.notices[-1].confirmed_ago >= 900.0
