Test silence between VMs together with that of the store, and a long outage

Both hold: with every message between VMs lost, each VM reads the store itself before the bound; through a minute of silence of the store the routes in force are served, and a change after it is in force in time.

--- a/src/galenaferry/node/tests/test_silent_store_connections.py
+++ b/src/galenaferry/node/tests/test_silent_store_connections.py
@@ -6,6 +6,7 @@
 import pytest
 
 from galenaferry.node.tests.configuration_fleet import ConfigurationFleet
+from galenaferry.routing.table import Route
 
 STEP_MS = 50.0
 BOUNDS_MS = (2_000.0, 2_500.0, 3_000.0)
@@ -126,3 +127,37 @@
             late[silent_for] = hosts
         fleet.run(3_000.0)
     assert late == {}
+
+
+@pytest.mark.parametrize("bound", BOUNDS_MS)
+def test_no_vm_acts_on_the_version_before_though_no_vm_hears_of_the_others(
+    monkeypatch, bound
+):
+    fleet = make_fleet(monkeypatch, bound)
+    late = {}
+    for version, silent_for in enumerate(steps(bound)[::3], start=2):
+        fleet.loss = 1.0
+        fleet.run(100.0 + silent_for)
+        silence(fleet)
+        acked_at = fleet.change(version, 20)
+        fleet.run(bound)
+        if hosts := fleet.late(version, acked_at, bound):
+            late[silent_for] = hosts
+        fleet.loss = 0.0
+        fleet.run(3_000.0)
+    assert late == {}
+
+
+def test_first_routes_are_served_through_a_long_silence_of_the_store(monkeypatch):
+    fleet = make_fleet(monkeypatch, 2_000.0)
+    head = fleet.head_of_new_route
+    fleet.store.silent = {vm.host for vm in fleet.vms}
+    silence(fleet)
+    for _ in range(60):
+        fleet.run(1_000.0)
+        assert all(isinstance(vm.routes.route(head), Route) for vm in fleet.vms)
+    fleet.store.silent = set()
+    fleet.run(3_000.0)
+    acked_at = fleet.change(2, 20)
+    fleet.run(2_000.0)
+    assert fleet.late(2, acked_at, 2_000.0) == []
