Play the silences of the tests with one function

The three tests of silent reads repeated the same loop. What they play and check is as before; the cases by age and by length of the silence, and one zone alone, hold on the same code.

--- a/src/galenaferry/node/tests/test_silent_store_connections.py
+++ b/src/galenaferry/node/tests/test_silent_store_connections.py
@@ -33,23 +33,33 @@
     return [STEP_MS * number for number in range(int(until / STEP_MS) + 1)]
 
 
-@pytest.mark.parametrize("bound", BOUNDS_MS)
-def test_no_vm_acts_on_the_version_before_however_long_the_silence_before_a_change(
-    monkeypatch, bound
-):
-    fleet = make_fleet(monkeypatch, bound)
+def late_vms(fleet, bound, silences, hosts):
+    """Return the VMs that were late to have a change, by the silence before it.
+
+    ``silences`` are pairs of the age of the reads of ``hosts`` when they go silent and
+    the time from then on to the change.
+    """
     late = {}
-    for version, silent_for in enumerate(steps(bound), start=2):
-        # The reads after the last change have just begun.
-        fleet.run(200.0)
-        silence(fleet)
+    for version, (age, silent_for) in enumerate(silences, start=2):
+        fleet.run(age)
+        fleet.store.silence_connections(hosts)
         fleet.run(silent_for)
         acked_at = fleet.change(version, 20)
         fleet.run(bound)
-        if hosts := fleet.late(version, acked_at, bound):
-            late[silent_for] = hosts
+        if found := fleet.late(version, acked_at, bound):
+            late[age, silent_for] = found
         fleet.run(3_000.0)
-    assert late == {}
+    return late
+
+
+@pytest.mark.parametrize("bound", BOUNDS_MS)
+def test_no_vm_acts_on_the_version_before_however_long_the_silence_before_a_change(
+    monkeypatch, bound
+):
+    fleet = make_fleet(monkeypatch, bound)
+    silences = [(200.0, silent_for) for silent_for in steps(bound)]
+    hosts = {vm.host for vm in fleet.vms}
+    assert late_vms(fleet, bound, silences, hosts) == {}
 
 
 @pytest.mark.parametrize("bound", BOUNDS_MS)
@@ -57,17 +67,9 @@
     monkeypatch, bound
 ):
     fleet = make_fleet(monkeypatch, bound)
-    late = {}
-    for version, age in enumerate(steps(LONGEST_POLL_MS), start=2):
-        fleet.run(age)
-        silence(fleet)
-        fleet.run(STEP_MS)
-        acked_at = fleet.change(version, 20)
-        fleet.run(bound)
-        if hosts := fleet.late(version, acked_at, bound):
-            late[age] = hosts
-        fleet.run(3_000.0)
-    assert late == {}
+    silences = [(age, STEP_MS) for age in steps(LONGEST_POLL_MS)]
+    hosts = {vm.host for vm in fleet.vms}
+    assert late_vms(fleet, bound, silences, hosts) == {}
 
 
 @pytest.mark.parametrize("bound", BOUNDS_MS)
@@ -115,18 +117,9 @@
     monkeypatch, bound
 ):
     fleet = make_fleet(monkeypatch, bound)
-    zone = {vm.host for vm in fleet.in_zone("zone-0")}
-    late = {}
-    for version, silent_for in enumerate(steps(bound)[::5], start=2):
-        fleet.run(200.0)
-        fleet.store.silence_connections(zone)
-        fleet.run(silent_for)
-        acked_at = fleet.change(version, 20)
-        fleet.run(bound)
-        if hosts := fleet.late(version, acked_at, bound):
-            late[silent_for] = hosts
-        fleet.run(3_000.0)
-    assert late == {}
+    silences = [(200.0, silent_for) for silent_for in steps(bound)[::5]]
+    hosts = {vm.host for vm in fleet.in_zone("zone-0")}
+    assert late_vms(fleet, bound, silences, hosts) == {}
 
 
 @pytest.mark.parametrize("bound", BOUNDS_MS)
