Split interfaces, state and main loop from the component of a node

The servers are now created in node/interfaces.py, the readiness and the dump are in node/state.py, the main loop is in node/run.py and the times of the membership in node/membership_times.py.

--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -1,9 +1,8 @@
 """One VM of the fleet, composed of all its components."""
 
-import gc
 import signal
 from random import Random
-from typing import Any, Final
+from typing import Final
 
 from circuits import Component
 
@@ -19,16 +18,14 @@
 from ..health.messages import Outcomes
 from ..hedging.second_attempts import SecondAttempts
 from ..logs import logger
-from ..membership.heartbeats import Heartbeats, HeartbeatSettings
+from ..membership.heartbeats import Heartbeats
 from ..membership.messages import Freshness, Heartbeat, Member
-from ..membership.state import Liveness, MemberTable
-from ..network.json_server import JsonServer
+from ..membership.state import MemberTable
 from ..network.loop import Loop
 from ..overload.monitor import OverloadMonitor
 from ..peers.codec import PeerKeys
 from ..peers.component import PeersComponent
 from ..placing.component import Placement
-from ..placing.settings import PlacementSettings
 from ..relay.origin import RelayAuthentication
 from ..requests.admission_check import AdmissionCheck
 from ..requests.component import RequestsComponent
@@ -41,7 +38,9 @@
 from .broadcasts import Broadcasts
 from .crash_protection import CrashProtection
 from .gauges import MeasuredParts, make_gauges
+from .interfaces import serve_interfaces
 from .listeners import Listeners
+from .membership_times import HEARTBEAT_SETTINGS, LIVENESS
 from .metrics import NodeMetrics
 from .own_members import own_member, seed_members
 from .pauses import PauseGuard
@@ -51,19 +50,12 @@
 from .request_settings import make_request_settings
 from .retry_after import RetryAfter
 from .settings import NodeSettings
+from .state import NodeState
 from .status import StatusInterface
 from .tables import FleetAccess, TableListeners, Tables
 from .unused_messages import UnusedMessages
 from .vm_register import VmRegister
 
-HEARTBEAT_SETTINGS: Final = HeartbeatSettings(interval=1_000.0, fanout=2)
-LIVENESS: Final = Liveness(
-    6_000.0, timeout_per_member=200.0, sample_size=16, own_zone_share=0.75
-)
-"""A member is live for 6 s, plus 200 ms per known member, after its latest update.
-
-16 members fill a datagram. With 200 ms per member, fleets of 40 and of 91 VMs keep
-complete views of their members (``membership/tests/test_heartbeats.py``)."""
 CAPACITY_SHARE_INTERVAL_MS: Final = 500.0
 """Interval at which slots and connections are divided among the live VMs."""
 FIRST_LOAD_FANOUT: Final = 4
@@ -74,9 +66,6 @@
 readiness checks, one second apart, plus their timeout."""
 STOP_MARGIN_MS: Final = 700.0
 """Part of the grace period that is left for process exit, also on a slow machine."""
-YOUNG_COLLECTION_THRESHOLD: Final = 10_000
-"""Net allocations after which the youngest generation is garbage-collected."""
-log = logger("node")
 request_log = logger("requests")
 
 
@@ -134,7 +123,7 @@
         )
         self.placement = Placement(
             loop,
-            _placement_settings(settings),
+            settings.placement,
             random,
             self._broadcasts.send_outcomes,
             self._overload if settings.has_admission_control else None,
@@ -253,19 +242,37 @@
             listeners.cut_unanswered,
         ).register(self)
         self._has_been_loaded = False
-        self._metrics = self._make_metrics()
+        parts = MeasuredParts(
+            loop.clock,
+            self.tables,
+            self.routes,
+            self.table,
+            self.peers,
+            self.placement,
+            self._relaying.backends,
+            self.crashes.guard,
+            self._overload,
+            self.context.callers,
+            self.requests,
+        )
+        self._metrics = NodeMetrics(
+            settings.name,
+            settings.zone,
+            self.context.counters,
+            make_gauges(parts),
+            self._quotas.quotas,
+        )
+        state = NodeState(settings, parts, self.drain, self._quotas)
         status = StatusInterface(
-            self.is_ready,
-            self.dump,
+            state.is_ready,
+            state.dump,
             self._metrics.text,
             self.crashes.guard.lift,
             admin_token,
         )
-        JsonServer(settings.readiness, status.respond).register(self)
-        if metrics_port:
-            address = (settings.readiness[0], metrics_port)
-            JsonServer(address, status.respond).register(self)
-        JsonServer(settings.peers, self.tables.respond_to_peer).register(self)
+        serve_interfaces(
+            self, settings, status.respond, self.tables.respond_to_peer, metrics_port
+        )
         loop.every(CAPACITY_SHARE_INTERVAL_MS, self._share_capacity)
         self._reload = SettingsReloader(
             loop, settings, read_settings, self._apply_settings
@@ -285,37 +292,6 @@
         )
         self.tables.begin()
 
-    def is_ready(self) -> tuple[bool, str]:
-        """Return whether requests can be served, and the reason if not."""
-        if self.drain.is_shutdown_requested:
-            return False, "stopping"
-        if not self.routes.version:
-            return False, "no configuration is known yet"
-        if not self.tables.instances.is_loaded:
-            return False, "the instances are not known yet"
-        return True, "ready"
-
-    def dump(self) -> dict[str, Any]:
-        """Return the state of all components as JSON data."""
-        is_ready, reason = self.is_ready()
-        now = self.loop.clock.now()
-        return {
-            "vm": {
-                "name": self._settings.name,
-                "zone": self._settings.zone,
-                "ready": is_ready,
-                "reason": reason,
-            },
-            "configuration": self.tables.dump_configuration(),
-            "instances": self.tables.dump_instances()
-            | {"by_service": self.placement.dump()},
-            "cut_off": self._relaying.backends.is_cut_off,
-            "crashing_requests": self.crashes.guard.dump(),
-            "members": sorted(m.address for m in self.table.live(now)),
-            "peers": self.peers.dump(),
-            "quotas": self._quotas.dump(),
-        }
-
     def on_heartbeat(self, sender: Member, heartbeat: Heartbeat) -> None:
         """Update the membership and catch up with the sender's tables if needed."""
         self._heartbeats.on_heartbeat(sender, heartbeat)
@@ -339,7 +315,7 @@
         self.table.add_unconfirmed(seed_members(settings), self.loop.clock.now())
         self.context.budgets = self._make_budgets(is_first_start=False)
         self.context.callers.bounds = settings.caller_bounds
-        self.placement.settings = _placement_settings(settings)
+        self.placement.settings = settings.placement
 
     def _make_budgets(self, is_first_start: bool) -> FleetBudgets:
         return FleetBudgets(
@@ -398,24 +374,6 @@
         me = self.table.me
         self.placement.set_live_vms(Vm(me.address, me.zone), vms)
 
-    def _make_metrics(self) -> NodeMetrics:
-        parts = MeasuredParts(
-            self.loop.clock,
-            self.tables,
-            self.routes,
-            self.table,
-            self.peers,
-            self.placement,
-            self._relaying.backends,
-            self.crashes.guard,
-            self._overload,
-            self.context.callers,
-            self.requests,
-        )
-        name, zone = self._settings.name, self._settings.zone
-        counters, quotas = self.context.counters, self._quotas.quotas
-        return NodeMetrics(name, zone, counters, make_gauges(parts), quotas)
-
     def _on_request_finished(self, summary: RequestSummary) -> None:
         if summary.is_single_attempt_success and summary.buffered_body_bytes:
             self.placement.record_response_size(
@@ -437,19 +395,3 @@
         )
         self.table.me = self.table.me._replace(is_leaving=True)
         self._heartbeats.send_heartbeats()
-
-
-def _placement_settings(settings: NodeSettings) -> PlacementSettings:
-    return PlacementSettings(
-        settings.zone, settings.floor_share, settings.drain_timeout
-    )
-
-
-def run(node: Node, name: str) -> None:
-    """Serve until the graceful shutdown is complete."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(YOUNG_COLLECTION_THRESHOLD)
-    log.info("started", vm=name)
-    node.run()
-    log.info("stopped", vm=name)
--- a/src/galenaferry/node/settings.py
+++ b/src/galenaferry/node/settings.py
@@ -5,6 +5,7 @@
 from ..attempts.fleet_budget import BudgetBounds
 from ..callers.decisions import CallerBounds
 from ..clock import Millis
+from ..placing.settings import PlacementSettings
 from ..quotas.messages import QuotaBounds
 
 Address = tuple[str, int]
@@ -55,3 +56,8 @@
     has_admission_control: bool = False
     second_attempts_percent: float = 0.0
     caller_bounds: CallerBounds = CallerBounds()
+
+    @property
+    def placement(self) -> PlacementSettings:
+        """Settings of the placing of requests."""
+        return PlacementSettings(self.zone, self.floor_share, self.drain_timeout)
--- a/src/galenaferry/platform/__main__.py
+++ b/src/galenaferry/platform/__main__.py
@@ -14,7 +14,8 @@
 from ..logs import set_up_logs
 from ..network.loop import Loop
 from ..node.adapter import Adapter, TableNames
-from ..node.component import Node, run
+from ..node.component import Node
+from ..node.run import run
 from ..node.settings import NodeSettings
 from .documents import (
     BLOCKED_REQUESTS_TABLE,
