Limit what clients of the VM's own interfaces make it hold

What callers saw: clients that anybody may be connected to the address of the readiness checks, to the metrics port or to that of the other VMs and sent requests without reading the answers, bodies of 4 GB or nothing at all. The process grew until it had more memory or descriptors than its machine; then it ended, with all requests in progress.

Cause: these listeners were servers of circuits.web, which accepts any number of connections, holds heads and bodies whole, and buffers answers that nobody reads. The budget of callers (callers/budget.py) knows nothing of them.

Change: network/json_server is now a server on the loop of our own, with the strict parser and the stream that callers get. It reads the next request of a connection only when the answer before has been accepted by the kernel, refuses heads and bodies above its limits by their head, closes connections without progress, and counts what all connections hold. Above the budget, or when a new connection needs room, the one without progress for the longest time is closed, but not one whose first request is about to be answered: a readiness check is answered beside a crowd at the same address. Answers take turns, with those of clients that ask once in between.

A limit put around circuits.web was weighed: its events give no place at which reading could pause, and it parses leniently.

Evidence: callers/tests/test_listener_crowd.py, 64 MB and 400 descriptors in the settings. On (arm64) 15 of its 23 tests failed: readiness checks unread 73 to 81 MB, state, metrics and tables 68 to 76 MB, endless bodies 257 MB, endless heads 73 and 74 MB, silent connections 616 descriptors. The eight at the callers' address passed before as well. Now all pass.

--- a/src/galenaferry/entry.py
+++ b/src/galenaferry/entry.py
@@ -127,7 +127,7 @@
             cut_unanswered=self.requests.cut_unanswered,
         ).register(self)
         self._admin = AdminComponent(
-            settings.admin, settings.admin_token, self._admin_sources()
+            self.loop, settings.admin, settings.admin_token, self._admin_sources()
         ).register(self)
 
     @property
--- a/src/galenaferry/network/loop.py
+++ b/src/galenaferry/network/loop.py
@@ -165,7 +165,7 @@
                 if callback is not None:
                     callback(flags)
                 else:
-                    # A socket of a circuits component, such as ``JsonServer``.
+                    # A socket of a circuits component.
                     self._process(fd, flags)
             except Exception as error:
                 self._on_callback_error(error)
--- a/src/galenaferry/network/stream.py
+++ b/src/galenaferry/network/stream.py
@@ -2,7 +2,10 @@
 
 import errno
 import socket
+import struct
+import termios
 from collections import deque
+from fcntl import ioctl
 from typing import Final, Protocol
 
 from .loop import HANGUP_OR_ERROR, READABLE, WRITABLE, Loop
@@ -14,6 +17,9 @@
 CONNECT_PENDING_CODES: Final = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 """Results of a non-blocking connect that is still in progress."""
 
+C_INT: Final = struct.Struct("i")
+"""Result of the ioctl calls on sockets."""
+
 
 class StreamOwner(Protocol):
     """Receiver of a stream's events."""
@@ -92,6 +98,18 @@
         """Number of bytes that the kernel has not accepted."""
         return self._write_buffer_bytes
 
+    @property
+    def delivered_bytes(self) -> int:
+        """Number of bytes that the peer's kernel has acknowledged.
+
+        Where the kernel does not tell, all bytes that it has accepted count.
+        """
+        try:
+            queued = ioctl(self._sock, termios.TIOCOUTQ, bytes(C_INT.size))
+        except OSError:
+            return self.bytes_sent
+        return self.bytes_sent - int(C_INT.unpack(queued)[0])
+
     @property
     def peer(self) -> str:
         """Address of the remote end as ``IP:PORT``, ``unconnected`` without one."""
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -38,7 +38,7 @@
 from .broadcasts import Broadcasts
 from .crash_protection import CrashProtection
 from .gauges import MeasuredParts, make_gauges
-from .interfaces import serve_interfaces
+from .interfaces import Interfaces
 from .listeners import Listeners
 from .membership_times import HEARTBEAT_SETTINGS, LIVENESS
 from .metrics import NodeMetrics
@@ -222,7 +222,7 @@
             second_attempts=SecondAttempts.make(
                 settings.second_attempts_percent, self.placement
             ),
-            callers=CallerBudget(settings.caller_bounds),
+            callers=CallerBudget(settings.listener_bounds.callers),
         )
         if settings.has_admission_control:
             self.context.admission = AdmissionCheck(
@@ -254,6 +254,7 @@
             self._overload,
             self.context.callers,
             self.requests,
+            lambda: self._interfaces.servers,
         )
         self._metrics = NodeMetrics(
             settings.name,
@@ -270,8 +271,8 @@
             self.crashes.guard.lift,
             admin_token,
         )
-        serve_interfaces(
-            self, settings, status.respond, self.tables.respond_to_peer, metrics_port
+        self._interfaces = Interfaces(
+            loop, settings, status.respond, self.tables.respond_to_peer, metrics_port
         )
         loop.every(CAPACITY_SHARE_INTERVAL_MS, self._share_capacity)
         self._reload = SettingsReloader(
@@ -314,7 +315,8 @@
         self._adapter.store.set_address(settings.store)
         self.table.add_unconfirmed(seed_members(settings), self.loop.clock.now())
         self.context.budgets = self._make_budgets(is_first_start=False)
-        self.context.callers.bounds = settings.caller_bounds
+        self.context.callers.bounds = settings.listener_bounds.callers
+        self._interfaces.replace_limits(settings.listener_bounds)
         self.placement.settings = settings.placement
 
     def _make_budgets(self, is_first_start: bool) -> FleetBudgets:
--- a/src/galenaferry/node/gauges.py
+++ b/src/galenaferry/node/gauges.py
@@ -1,11 +1,13 @@
 """Gauges of a node: what they read of its components."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..callers.budget import CallerBudget
 from ..clock import Clock
 from ..crashes.guard import CrashGuard
 from ..membership.state import MemberTable
+from ..network.json_server import JsonServer
 from ..overload.monitor import OverloadMonitor
 from ..peers.component import PeersComponent
 from ..placing.component import Placement
@@ -17,7 +19,10 @@
 
 
 class MeasuredParts(NamedTuple):
-    """Components that gauges are read from."""
+    """Components that gauges are read from.
+
+    ``servers`` returns the HTTP servers of the VM's own interfaces.
+    """
 
     clock: Clock
     tables: Tables
@@ -30,10 +35,17 @@
     overload: OverloadMonitor
     callers: CallerBudget
     requests: RequestsComponent
+    servers: Callable[[], tuple[JsonServer, ...]]
 
 
 def make_gauges(parts: MeasuredParts) -> Gauges:
     """Return the gauges of a node."""
+
+    def count_closed(reason: str) -> float:
+        """Return how many connections of the interfaces were closed for a reason."""
+        counters = [server.connections.counters for server in parts.servers()]
+        return sum(getattr(counter, reason) for counter in counters)
+
     tables, peers, callers = parts.tables, parts.peers, parts.callers
     placement, backends, overload = parts.placement, parts.backends, parts.overload
     return Gauges(
@@ -61,6 +73,17 @@
         callers_relieved=lambda: callers.relieved,
         callers_replaced=lambda: callers.replaced,
         callers_refused=lambda: callers.refused,
+        interfaces_connections=lambda: sum(
+            len(server.connections) for server in parts.servers()
+        ),
+        interfaces_held_bytes=lambda: sum(
+            server.connections.used_bytes for server in parts.servers()
+        ),
+        interfaces_replaced=lambda: count_closed("replaced"),
+        interfaces_relieved=lambda: count_closed("relieved"),
+        interfaces_timed_out=lambda: count_closed("timed_out"),
+        interfaces_refused=lambda: count_closed("refused"),
+        interfaces_malformed=lambda: count_closed("malformed"),
         requests_suspected=lambda: parts.crash_guard.suspect_count,
         admission_overloaded_services=lambda: overload.overloaded_count,
         admission_level=lambda: overload.highest_level,
--- a/src/galenaferry/node/settings.py
+++ b/src/galenaferry/node/settings.py
@@ -4,6 +4,7 @@
 
 from ..attempts.fleet_budget import BudgetBounds
 from ..callers.decisions import CallerBounds
+from ..callers.shares import ListenerBounds, divide_bounds
 from ..clock import Millis
 from ..placing.settings import PlacementSettings
 from ..quotas.messages import QuotaBounds
@@ -33,7 +34,7 @@
     None if nothing is limited. ``has_admission_control`` says that requests are
     refused by their priority while a service lacks room. ``second_attempts_percent``
     is the number of second attempts at slow requests per 100 requests.
-    ``caller_bounds`` limits what is held for callers.
+    ``caller_bounds`` limits what is held for clients at all listeners together.
     """
 
     name: str
@@ -61,3 +62,8 @@
     def placement(self) -> PlacementSettings:
         """Settings of the placing of requests."""
         return PlacementSettings(self.zone, self.floor_share, self.drain_timeout)
+
+    @property
+    def listener_bounds(self) -> ListenerBounds:
+        """Limits on what is held for clients at each listener."""
+        return divide_bounds(self.caller_bounds)
