Refuse trailers and chunk extensions without an end

What callers saw: clients that anybody may be sent chunked requests whose trailer, or whose chunk extension, never ends.

Cause: RequestReader limits what is received of a head; once the head is complete nothing limited a trailer, which httptools joins in memory until its end, with time by the square of its length. A line before a chunk had no limit either.

Beyond it the request is refused with 431, or 502 if it may have run, and the connection closes. What is incomplete counts as held for the caller. httptools reports where the lines before chunks end, so that a body of many small chunks isn't refused.

--- a/src/galenaferry/framing/requests.py
+++ b/src/galenaferry/framing/requests.py
@@ -18,6 +18,8 @@
     "Pause on PRI/Upgrade": 505,
 }
 """Errors of httptools about requests that may be valid but are not supported."""
+HEAD_TOO_LARGE: Final = "the head of the request is too large"
+TRAILERS_TOO_LARGE: Final = "the trailers or chunk extensions are too large"
 METHOD: Final = re.compile(rb"[\r\n]*[!#$%&'*+.^_`|~0-9A-Za-z-]+( |$)")
 """Begin of bytes that may be a request with a method."""
 AUTHORITY: Final = re.compile(rb"[^/?#]*")
@@ -27,6 +29,8 @@
 class RequestLimits(NamedTuple):
     """Maximum sizes of a request's head and body in bytes.
 
+    ``head_bytes`` also limits all trailers of a chunked body, and the line with the
+    size and the extensions of each chunk.
     ``header_count`` is the maximum number of headers. ``is_known`` says whether a
     request beyond the limits is wrong. If not, they only limit what is taken in.
     """
@@ -67,6 +71,10 @@
         self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._error: FramingError | None = None
+        # Bytes of an incomplete line before a chunk, or of an incomplete trailer.
+        self._partial_line_bytes = 0
+        self._trailer_bytes = 0
+        self._has_line_ended = False
         # Head behind which the rest of a message that offers an upgrade is parsed.
         self._body_head = b""
         self._is_in_body_head = False
@@ -79,8 +87,10 @@
 
     @property
     def held_bytes(self) -> int:
-        """Number of bytes of an incomplete head."""
-        return self._head_bytes + self._partial_head_bytes if self._is_in_message else 0
+        """Number of bytes of an incomplete head, or of an incomplete trailer."""
+        if not self._is_in_message:
+            return 0
+        return self._head_bytes + self._partial_head_bytes + self._partial_line_bytes
 
     def replace_limits(self, limits: RequestLimits) -> None:
         """Apply other limits from now on.
@@ -107,6 +117,7 @@
             be used for further requests.
         """
         self._began_in_feed = False
+        self._has_line_ended = False
         was_between_requests = not self._is_in_message
         try:
             self._feed_parser(data)
@@ -121,13 +132,28 @@
         except httptools.HttpParserError as error:
             text = str(error)
             raise FramingError(STATUS_BY_PARSER_ERROR.get(text, 400), text) from None
+        self._limit_incomplete_parts(len(data))
+
+    def _limit_incomplete_parts(self, fed_bytes: int) -> None:
+        """Refuse a head, trailer or chunk extension that grows without an end.
+
+        httptools reports them only when they are complete, and joins their parts in
+        memory until then.
+        """
         is_in_head = self._is_in_message and not self._is_head_complete
         if is_in_head and not self._began_in_feed:
-            # httptools reports a header only when it is complete. Counting the fed
-            # bytes limits a header that never ends.
-            self._partial_head_bytes += len(data)
-        if self._partial_head_bytes > self._limits.head_bytes + MAX_SEPARATOR_BYTES:
-            raise self._size_error(431, "the head of the request is too large")
+            self._partial_head_bytes += fed_bytes
+        if self._is_in_message and self._is_head_complete:
+            # Bytes behind the last complete part count from the next call on.
+            has_ended = self._has_line_ended
+            self._partial_line_bytes = (
+                0 if has_ended else self._partial_line_bytes + fed_bytes
+            )
+        limit = self._limits.head_bytes + MAX_SEPARATOR_BYTES
+        if self._partial_head_bytes > limit:
+            raise self._size_error(431, HEAD_TOO_LARGE)
+        if self._partial_line_bytes + self._trailer_bytes > limit:
+            raise self._size_error(431, TRAILERS_TOO_LARGE)
 
     def _feed_parser(self, data: bytes) -> None:
         """Feed the parser, and a new one after each head that offers an upgrade.
@@ -167,7 +193,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are dropped (called by httptools)."""
+        if self._is_in_body_head:
+            return
         if self._is_head_complete:
+            self._add_trailer_bytes(len(name) + len(value))
             return
         if len(self._headers) >= self._limits.header_count:
             self._refuse_size(431, "too many headers")
@@ -183,6 +212,7 @@
         if self._parser.get_method() == b"CONNECT":
             self._refuse(501, "CONNECT is not supported")
         self._is_head_complete = True
+        self._has_line_ended = True
         self._partial_head_bytes = 0
         head = self._build_head()
         if head.length is not None and head.length > self._limits.body_bytes:
@@ -193,11 +223,20 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the owner (called by httptools)."""
+        self._has_line_ended = True
         self._body_bytes += len(data)
         if self._body_bytes > self._limits.body_bytes:
             self._refuse_size(413, "the body is too large")
         self._owner.on_body(data)
 
+    def on_chunk_header(self) -> None:
+        """Note that the line before a chunk has ended (called by httptools)."""
+        self._has_line_ended = True
+
+    def on_chunk_complete(self) -> None:
+        """Note that a chunk has ended (called by httptools)."""
+        self._has_line_ended = True
+
     def on_message_complete(self) -> None:
         """Report the end of the request to the owner (called by httptools)."""
         if self._body_head and self._parser.should_upgrade():
@@ -213,14 +252,23 @@
         self._is_in_message = False
         self._head_bytes = 0
         self._partial_head_bytes = 0
+        self._partial_line_bytes = 0
+        self._trailer_bytes = 0
         self._body_bytes = 0
         self._began_in_feed = False
+        self._has_line_ended = False
         self._body_head = b""
 
     def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._limits.head_bytes:
-            self._refuse_size(431, "the head of the request is too large")
+            self._refuse_size(431, HEAD_TOO_LARGE)
+
+    def _add_trailer_bytes(self, size: int) -> None:
+        self._has_line_ended = True
+        self._trailer_bytes += size
+        if self._trailer_bytes > self._limits.head_bytes:
+            self._refuse_size(431, TRAILERS_TOO_LARGE)
 
     def _refuse(self, status: int, text: str) -> None:
         self._error = FramingError(status, text)
