Drop a bounded amount of what follows malformed bytes

What callers saw: a connection whose request was refused as malformed stayed open for 10 s and the VM received and dropped whatever came, at full speed.

Cause: Lingering drops all bytes behind the last answer, so that the caller sees the answer before a reset; nothing limited how many.

The rest of a well-formed body that was refused is still dropped up to the limit of bodies, so that its caller gets the answer.

--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -15,7 +15,7 @@
 from .context import RequestContext
 from .exchange import Exchange
 from .framed_answer import FramedAnswer
-from .lingering import Lingering
+from .lingering import DISCARDED_BYTES, Lingering
 from .pipeline import QueuedRequest, head_memory
 
 UNSENT_UNDER_PRESSURE_BYTES: Final = 16_384
@@ -347,7 +347,9 @@
         self._is_reading_body = False
         self._drop_exchanges()
         self._answered_at = self._context.loop.clock.now()
-        self._stream.owner = lingering = Lingering(self, self._stream)
+        # The rest of a refused body may follow, but nothing behind malformed bytes.
+        limit = DISCARDED_BYTES if self._is_malformed else self._limits.body_bytes
+        self._stream.owner = lingering = Lingering(self, self._stream, limit)
         self._stream.resume()
         if not self._stream.has_unsent:
             lingering.shutdown_write()
@@ -371,6 +373,7 @@
             # The last answer has been sent, so that no request can follow.
             return
         self._context.counters.framing_errors += 1
+        self._is_malformed = True
         self._is_input_ended = True
         self._stream.pause()
         if self._is_reading_body and self._exchange is not None and not self._pipeline:
--- a/src/galenaferry/requests/caller_state.py
+++ b/src/galenaferry/requests/caller_state.py
@@ -43,6 +43,7 @@
         "_is_body_paused",
         "_is_cut_short",
         "_is_input_ended",
+        "_is_malformed",
         "_is_reading_body",
         "_is_reading_over",
         "_is_start_delayed",
@@ -68,6 +69,7 @@
         self._is_cut_short = False
         self._is_reading_body = False
         self._is_input_ended = False
+        self._is_malformed = False
         self._is_reading_over = False
         self._is_start_delayed = False
         self.last_progress_at: Millis = context.loop.clock.now()
