Count what a caller's kernel acknowledges as progress of an answer

What callers saw: a caller that reads slowly got a truncated answer.

Suspected, not changed: an attempt whose response is not read on because its caller is slow ends after the route's idle timeout (30 s in the test's configuration, seen once with 9 MB).

--- a/src/galenaferry/requests/caller_state.py
+++ b/src/galenaferry/requests/caller_state.py
@@ -35,8 +35,8 @@
         "_answered_at",
         "_budget",
         "_buffered_bytes",
-        "_bytes_sent_seen",
         "_context",
+        "_delivered_bytes",
         "_exchange",
         "_head_bytes",
         "_held_bytes",
@@ -74,7 +74,7 @@
         self._is_start_delayed = False
         self.last_progress_at: Millis = context.loop.clock.now()
         self._answered_at: Millis = 0.0
-        self._bytes_sent_seen = 0
+        self._delivered_bytes = 0
 
     @property
     def is_idle(self) -> bool:
@@ -119,12 +119,14 @@
             self._stream.receive_pending()
 
     def idle_time(self, now: Millis) -> Millis:
-        """Return for how long nothing has been received or sent.
+        """Return for how long nothing has been received, sent or read by the caller.
 
-        Bytes that were sent count from the call that notices them.
+        What the caller has read counts from the call that notices it. The kernel may
+        accept the next part of an answer only after megabytes were read.
         """
-        if self._stream.bytes_sent != self._bytes_sent_seen:
-            self._bytes_sent_seen = self._stream.bytes_sent
+        delivered = self._stream.delivered_bytes
+        if delivered != self._delivered_bytes:
+            self._delivered_bytes = delivered
             self.last_progress_at = now
         return now - self.last_progress_at
 
--- a/src/galenaferry/requests/tests/test_slow_callers.py
+++ b/src/galenaferry/requests/tests/test_slow_callers.py
@@ -12,6 +12,8 @@
 ANSWER_BYTES = 400_000
 BUFFERED_BYTES = 1 << 20
 IDLE_TIMEOUT_MS = 2_000.0
+WIDE_WINDOW = 1_000_000
+"""Lets the kernels take megabytes of the answers."""
 
 
 def make_bench():
@@ -64,6 +66,22 @@
     assert len(caller.received) > 4 * size
 
 
+def test_answers_are_not_dropped_while_their_caller_reads_what_the_kernel_holds():
+    """Guards against counting only what the kernel accepts as progress."""
+    bench = make_bench()
+    caller = bench.caller()
+    caller._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WIDE_WINDOW)
+    size = BUFFERED_BYTES - 1_000
+    for _ in range(9):
+        caller.get(f"/bookings/size/{size}")
+    while len(caller.received) < 9 * size:
+        before = len(caller.received)
+        bench.run_for(0.2 * IDLE_TIMEOUT_MS)
+        read_some(caller, 100_000)
+        assert len(caller.received) > before
+    caller.close()
+
+
 def test_a_caller_that_does_not_read_on_is_dropped_after_the_idle_timeout():
     bench = make_bench()
     caller = bench.caller().get(f"/bookings/size/{ANSWER_BYTES}")
