Read from connections to instances again before they are reused

What callers saw: beside clients that leave large answers unread, ordinary requests timed out at sound instances ("TimedOut" after the overdue time, again on a second instance, then 504; bookings ended unknown), although the instances had answered within 20 ms.

Cause: while a caller is slow, its attempt stops reading from the instance. Where the last part of the response is the one that fills the caller's buffer, the attempt ends in that very call, and its connection went back to the pool with reading stopped. The next request on it was sent, and its response never read.

Change: a connection that leaves its attempt reads again.

--- a/src/galenaferry/backends/connection.py
+++ b/src/galenaferry/backends/connection.py
@@ -163,8 +163,12 @@
         self._bytes_sent_before = self._stream.bytes_sent
 
     def detach(self) -> None:
-        """Unbind the connection from its attempt and mark it as reused."""
+        """Unbind the connection from its attempt and mark it as reused.
+
+        Its caller may have been slow when the response ended, so reading goes on.
+        """
         self._owner = None
+        self._stream.resume()
         if self._reader is not None:
             self._reader.release()
             self._reader = None
--- a/src/galenaferry/requests/tests/test_slow_callers.py
+++ b/src/galenaferry/requests/tests/test_slow_callers.py
@@ -136,3 +136,15 @@
     assert bench.component.caller_count == 0
     assert [summary.status for summary in summaries] == [0]
     caller.close()
+
+
+def test_connections_of_answers_that_nobody_reads_serve_other_callers():
+    """Guards against connections to instances that are reused while reading pauses."""
+    bench = Bench(modes=[healthy()], zones=["north"])
+    slow = bench.caller()
+    for _ in range(100):
+        slow.get("/bookings/size/100000")
+    bench.run_for(1_000.0)
+    for _ in range(5):
+        (answer,) = bench.caller().get("/bookings/one").answers()
+        assert answer[0] == 200
