Let ordinary callers in where others hold all connections and don't read

What callers saw: as many connections as a VM accepts (100 with 400 descriptors), whose clients send requests ahead and read no answers, were enough: every other caller got 503 "this VM has no room for more connections" until the crowd left, however much memory was free.

Cause: a new connection could take the place only of one that is idle or has not sent its first request. One with unread answers or with requests sent ahead was never either.

Change: after those, the connection whose caller has left its answers unread for the longest time makes room, at least 1 s, and then one whose caller has sent requests ahead. A caller that reads on, at any speed, and one with a single request in progress keep theirs; if only those are left, the new caller gets 503 as before. What is closed promises nothing; what was sent ahead has not run. The line of a request that is cut for this says so ("another caller needs the connection").

--- a/src/galenaferry/callers/budget.py
+++ b/src/galenaferry/callers/budget.py
@@ -42,7 +42,7 @@
         """Free memory by one step: drop, refuse or close."""
 
     def make_room(self) -> bool:
-        """Close the connection unless a request has arrived; return whether it did."""
+        """Close the connection if it still may be; return whether it did."""
 
     def read_on(self) -> None:
         """Read from the caller again."""
@@ -61,8 +61,8 @@
     used_bytes : int
         Bytes that all connections hold.
     pauses, relieved, replaced, refused : int
-        Counters of pauses in reading, steps of relief, idle connections that were
-        closed for new ones, and connections that were refused.
+        Counters of pauses in reading, steps of relief, connections that were closed
+        for new ones, and connections that were refused.
     """
 
     def __init__(self, bounds: CallerBounds = CallerBounds()) -> None:  # noqa: B008
@@ -160,7 +160,7 @@
         )
 
     def make_room(self) -> bool:
-        """Whether one more connection may be accepted; may close an idle one."""
+        """Whether one more connection may be accepted; may close another one."""
         limit = self.bounds.connections
         if not limit or self.connection_count < limit:
             return True
--- a/src/galenaferry/callers/decisions.py
+++ b/src/galenaferry/callers/decisions.py
@@ -4,6 +4,8 @@
 from enum import Enum, auto
 from typing import Final, NamedTuple
 
+from ..clock import Millis
+
 RUNTIME_BYTES: Final = 70_000_000
 """Memory of a process without callers: 53 MB, and the tables of a large fleet."""
 BYTES_PER_MB: Final = 1_000_000
@@ -14,6 +16,9 @@
 FILE_DESCRIPTORS: Final = 200
 """Descriptors that are reserved for files."""
 MIN_CONNECTIONS: Final = 16
+UNREAD_MS: Final[Millis] = 1_000.0
+"""Time without reading after which a caller's connection may make room for a new one.
+Callers that read slowly receive something within a few round trips."""
 ORDINARY_BYTES: Final = 98_304
 """Largest ordinary request: a body that is kept for another attempt, and its head."""
 
@@ -59,10 +64,25 @@
 
     ``is_between_requests`` says that no request is in progress or on its way, and
     ``is_unstarted`` that a request is on its way whose head is not complete.
+    ``unread_time`` is the time for which the caller has read nothing of the answers
+    that wait for it, in milliseconds; 0 if none waits. ``has_requests_ahead`` says that
+    it has sent more requests than the one in progress.
     """
 
     is_between_requests: bool
     is_unstarted: bool
+    unread_time: Millis = 0.0
+    has_requests_ahead: bool = False
+
+    @property
+    def is_replaceable(self) -> bool:
+        """Whether the connection may be closed for a new one."""
+        return (
+            self.is_between_requests
+            or self.is_unstarted
+            or self.unread_time >= UNREAD_MS
+            or self.has_requests_ahead
+        )
 
 
 def derive_bounds(memory_mb: float, descriptors: float) -> CallerBounds:
@@ -127,15 +147,27 @@
 def choose_replaced(connections: Iterable[Idleness]) -> int | None:
     """Return the position of the connection that makes room for a new one, if any.
 
+    An idle one goes first, then one whose first request has not arrived, then the one
+    whose caller has left its answers unread for the longest time, then one whose caller
+    has sent requests ahead. Callers with a single request in progress keep theirs.
+
     Parameters
     ----------
     connections : iterable of Idleness
         Connections, the one without activity for the longest time first.
     """
-    chosen: int | None = None
+    unstarted: int | None = None
+    unread: int | None = None
+    ahead: int | None = None
+    longest_time = 0.0
     for number, connection in enumerate(connections):
         if connection.is_between_requests:
             return number
-        if connection.is_unstarted and chosen is None:
-            chosen = number
-    return chosen
+        if connection.is_unstarted:
+            unstarted = number if unstarted is None else unstarted
+        elif connection.unread_time >= max(UNREAD_MS, longest_time):
+            unread, longest_time = number, connection.unread_time
+        elif connection.has_requests_ahead:
+            ahead = number if ahead is None else ahead
+    found = (unstarted, unread, ahead)
+    return next((number for number in found if number is not None), None)
--- a/src/galenaferry/callers/tests/test_endless_trailers.py
+++ b/src/galenaferry/callers/tests/test_endless_trailers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from galenaferry.callers.tests.unread_clients import PART, flood
+from galenaferry.callers.tests.unread_clients import PART, Crowd, flood
 
 
 @pytest.mark.parametrize(
@@ -20,4 +20,4 @@
     head = (
         b"POST /small HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n"
     )
-    flood(tmp_path, "callers", 40, part, count=64, first=head + first)
+    flood(tmp_path, "callers", Crowd(40, part, 64, head + first))
--- a/src/galenaferry/callers/tests/unread_clients.py
+++ b/src/galenaferry/callers/tests/unread_clients.py
@@ -16,6 +16,7 @@
 )
 
 MEMORY_MB = 64
+AMPLE_MEMORY_MB = 300
 DESCRIPTORS = 400
 BYTES_PER_MB = 1_000_000
 READINESS = request("/ready")
@@ -30,15 +31,17 @@
 class Crowd(NamedTuple):
     """Clients that all send the same pieces, each once the one before was taken.
 
-    ``address`` is where they connect to, and ``pieces`` what one of them sends:
-    ``count`` times ``piece``, after ``first``.
+    One of them sends ``first`` and then ``count`` times ``piece``. ``address`` is where
+    they connect to. They have sent all that they can after ``settled_s`` seconds in
+    which nobody took anything.
     """
 
-    address: tuple[str, int]
     connections: int
     piece: bytes
     count: int = 1
     first: bytes = b""
+    address: tuple[str, int] = (LOOPBACK, 0)
+    settled_s: float = SETTLED_S
 
 
 class Addresses(NamedTuple):
@@ -114,7 +117,7 @@
             clients.append(UnreadClient(crowd))
             if number % CONNECTS_AT_ONCE == 0:
                 daemon.loop.poll(STEP_MS)
-        _flood(daemon, clients)
+        _flood(daemon, clients, crowd.settled_s)
         yield
     finally:
         for client in clients:
@@ -130,10 +133,10 @@
         daemon.address = callers
 
 
-def _flood(daemon, clients):
+def _flood(daemon, clients, settled_s):
     ends_at = time.monotonic() + LONGEST_FLOOD_S
     progress_at = time.monotonic()
-    while time.monotonic() < min(ends_at, progress_at + SETTLED_S):
+    while time.monotonic() < min(ends_at, progress_at + settled_s):
         if sum(client.send() for client in clients):
             progress_at = time.monotonic()
             daemon.loop.poll(0.0)
@@ -143,24 +146,29 @@
             return
 
 
-def assert_within_limits(daemon):
+def assert_within_limits(daemon, memory_mb=MEMORY_MB):
     assert daemon.is_alive, daemon.log_file.read_text()[-2_000:]
-    assert daemon.peak_memory_bytes < MEMORY_MB * BYTES_PER_MB
+    assert daemon.peak_memory_bytes < memory_mb * BYTES_PER_MB
     assert daemon.descriptor_count < DESCRIPTORS
 
 
-def assert_serves(daemon, addresses):
+def assert_serves(daemon, addresses, memory_mb=MEMORY_MB):
     ordinary = request("/small", headers=usual_headers("ordinary"))
-    assert answer_status(daemon, addresses.callers, ordinary) == 200
-    assert answer_status(daemon, addresses.readiness, READINESS) == 200
-    assert_within_limits(daemon)
-
-
-def flood(folder, listener, connections, piece, **parts):
-    """Let a crowd send to a listener of a new daemon, and check the daemon's limits."""
-    with start_daemon(folder, MEMORY_MB, DESCRIPTORS) as (daemon, addresses):
-        address = getattr(addresses, listener)
-        with press(daemon, Crowd(address, connections, piece, **parts)):
-            assert_within_limits(daemon)
-            assert_serves(daemon, addresses)
-        assert_serves(daemon, addresses)
+    statuses = {
+        "ordinary": answer_status(daemon, addresses.callers, ordinary),
+        "readiness": answer_status(daemon, addresses.readiness, READINESS),
+    }
+    assert statuses == {"ordinary": 200, "readiness": 200}, statuses
+    assert_within_limits(daemon, memory_mb)
+
+
+def flood(folder, listener, crowd, memory_mb=MEMORY_MB):
+    """Let a crowd send to a listener of a new daemon, and check the daemon's limits.
+
+    ``crowd`` has no address yet.
+    """
+    with start_daemon(folder, memory_mb, DESCRIPTORS) as (daemon, addresses):
+        with press(daemon, crowd._replace(address=getattr(addresses, listener))):
+            assert_within_limits(daemon, memory_mb)
+            assert_serves(daemon, addresses, memory_mb)
+        assert_serves(daemon, addresses, memory_mb)
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -16,11 +16,13 @@
 from .exchange import Exchange
 from .framed_answer import FramedAnswer
 from .lingering import DISCARDED_BYTES, Lingering
+from .messages import MALFORMED_HEAD
 from .pipeline import QueuedRequest, head_memory
 
 UNSENT_UNDER_PRESSURE_BYTES: Final = 16_384
 """Unread part of an answer above which the rest is not read while memory is short."""
 RELIEF_REASON: Final = "this VM holds too much for its callers"
+REPLACED_REASON: Final = "another caller needs the connection"
 
 
 class CallerConnection(CallerState):
@@ -96,15 +98,14 @@
         elif exchange is not None and not self._answer.is_open:
             exchange.refuse(503, RELIEF_REASON)
         else:
-            self._cut_and_close()
+            self._cut_and_close(RELIEF_REASON)
         self._update_reading()
 
     def make_room(self) -> bool:
-        """Close the connection unless a request has arrived (called by the budget)."""
+        """Close the connection if it still may be (called by the budget)."""
         self.receive_pending()
-        idleness = self.idleness
-        if idleness.is_between_requests or idleness.is_unstarted:
-            self.close()
+        if self.idleness.is_replaceable:
+            self._cut_and_close(REPLACED_REASON)
         return not self._stream.is_open
 
     def read_on(self) -> None:
@@ -195,7 +196,7 @@
             return
         request = self._exchange.head
         self._buffered_bytes = 0
-        has_more = bool(self._pipeline or self._pipeline.unparsed)
+        has_more = self._has_requests_ahead
         is_body_missing = (
             self._is_reading_body and not self._pipeline and request.length != 0
         )
@@ -354,9 +355,9 @@
         if not self._stream.has_unsent:
             lingering.shutdown_write()
 
-    def _cut_and_close(self) -> None:
+    def _cut_and_close(self, reason: str) -> None:
         if self._exchange is not None:
-            self._exchange.cut(RELIEF_REASON)
+            self._exchange.cut(reason)
             self._exchange = None
         self.close()
 
@@ -392,7 +393,3 @@
             return
         exchange = self._exchange = Exchange(self._context, self, MALFORMED_HEAD)
         exchange.refuse(error.status, error.text)
-
-
-MALFORMED_HEAD: Final = RequestHead(b"GET", b"/", "1.1", (), 0, False, False)
-"""Placeholder for the head of a request that could not be parsed."""
--- a/src/galenaferry/requests/caller_state.py
+++ b/src/galenaferry/requests/caller_state.py
@@ -36,6 +36,7 @@
         "_budget",
         "_buffered_bytes",
         "_context",
+        "_delivered_at",
         "_delivered_bytes",
         "_exchange",
         "_head_bytes",
@@ -75,6 +76,7 @@
         self.last_progress_at: Millis = context.loop.clock.now()
         self._answered_at: Millis = 0.0
         self._delivered_bytes = 0
+        self._delivered_at: Millis = self.last_progress_at
 
     @property
     def is_idle(self) -> bool:
@@ -124,12 +126,27 @@
         What the caller has read counts from the call that notices it. The kernel may
         accept the next part of an answer only after megabytes were read.
         """
-        delivered = self._stream.delivered_bytes
-        if delivered != self._delivered_bytes:
-            self._delivered_bytes = delivered
-            self.last_progress_at = now
+        if self._is_reading_on():
+            self._delivered_at = self.last_progress_at = now
         return now - self.last_progress_at
 
+    def _is_reading_on(self) -> bool:
+        """Whether the caller has read anything since the previous call."""
+        previous, self._delivered_bytes = (
+            self._delivered_bytes,
+            self._stream.delivered_bytes,
+        )
+        return previous != self._delivered_bytes
+
+    @property
+    def _unread_time(self) -> Millis:
+        """Time for which the caller has read nothing of answers that wait for it."""
+        if not self._stream.has_unsent:
+            return 0.0
+        now = self._context.loop.clock.now()
+        self.idle_time(now)
+        return now - self._delivered_at
+
     @property
     def is_waiting_for_caller(self) -> bool:
         """Whether answers are unsent and no request is being served meanwhile."""
@@ -143,14 +160,18 @@
     @property
     def holding(self) -> Holding:
         """What the connection holds for its caller."""
-        has_more = bool(self._pipeline or self._pipeline.unparsed)
-        return Holding(self._held_bytes, not (has_more or self._stream.has_unsent))
+        is_ordinary = not (self._has_requests_ahead or self._stream.has_unsent)
+        return Holding(self._held_bytes, is_ordinary)
+
+    @property
+    def _has_requests_ahead(self) -> bool:
+        return bool(self._pipeline or self._pipeline.unparsed)
 
     @property
     def idleness(self) -> Idleness:
         """What the connection waits for."""
         if self.has_exchange or self._stream.has_unsent:
-            return Idleness(is_between_requests=False, is_unstarted=False)
+            return Idleness(False, False, self._unread_time, self._has_requests_ahead)
         is_idle = self._is_between_requests
         return Idleness(is_between_requests=is_idle, is_unstarted=not is_idle)
 
--- a/src/galenaferry/requests/messages.py
+++ b/src/galenaferry/requests/messages.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from ..attempts.messages import Execution
+from ..framing.messages import RequestHead
 
 RAN_HEADER: Final = b"galenaferry-ran"
 """Whether the request was executed, as a value of ``Execution``."""
@@ -18,6 +19,8 @@
 MAX_REFUSAL_REASONS: Final = 100
 """Largest number of pairs of status and reason that are counted separately."""
 OTHER_REASON: Final = "other"
+MALFORMED_HEAD: Final = RequestHead(b"GET", b"/", "1.1", (), 0, False, False)
+"""Placeholder for the head of a request that could not be parsed."""
 
 
 @dataclass(slots=True)
