Play a hostile crowd at every listener in the soak

Beside its other acts, the soak now lets clients that send without an end and read nothing connect to a random listener of a random VM (callers, readiness, peers, relay): requests sent ahead, nothing at all, heads, bodies, trailers and extensions without an end. The VMs have limits (300 MB, 4,100 descriptors), which the check of the memory (150 MB) already named.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -25,6 +25,8 @@
 address = "{store}"
 [limits]
 linkMbps = {link_mbps}
+memoryMb = 300
+fileDescriptors = 4100
 """
 LINK_MBPS = (10, 10, 200)
 """Bandwidths that the VMs have by turns."""
@@ -40,6 +42,7 @@
         self.ip = f"127.0.0.{number + 2}"
         self.front_address = (self.ip, port)
         self.readiness_address = (self.ip, port + 1)
+        self.listeners = tuple((self.ip, port + number) for number in range(4))
         self._log_file = folder / f"vm-{number}.log"
         self._node_file = folder / f"vm-{number}.toml"
         seeds = ", ".join(f'"127.0.0.{n}:{port}"' for n in (2, 3, 4))
--- a/soak/hostile.py
+++ b/soak/hostile.py
@@ -14,6 +14,7 @@
 
 from .callers import Callers
 from .connections import ClientConnection
+from .crowd import HostileCrowd
 from .fleet import Vm
 from .instances import ExecutionRecord
 from .store import Store
@@ -77,10 +78,12 @@
             self._send_garbage,
             self._write_odd_row,
         )
+        self._crowd = HostileCrowd(loop, vms, Random(f"crowd {seed}"))
 
     def act(self) -> None:
-        """Perform one random act."""
+        """Perform one random act, beside a crowd that reads nothing."""
         self._random.choice(self._acts)()
+        self._crowd.press()
 
     def find_large_vms(self) -> list[str]:
         """Return a finding for each VM that holds too much memory."""
