Find the connection that makes room in bounded time

What callers saw: nothing yet; at the limit of connections, each new one made the VM look at what 256 others had sent and read, 4.3 ms each time. A crowd that connects 200 times a second would have taken most of the loop's time.

--- a/src/galenaferry/callers/decisions.py
+++ b/src/galenaferry/callers/decisions.py
@@ -16,9 +16,13 @@
 FILE_DESCRIPTORS: Final = 200
 """Descriptors that are reserved for files."""
 MIN_CONNECTIONS: Final = 16
-UNREAD_MS: Final[Millis] = 1_000.0
+UNREAD_MS: Final[Millis] = 2_000.0
 """Time without reading after which a caller's connection may make room for a new one.
-Callers that read slowly receive something within a few round trips."""
+Callers that read slowly receive something within a few round trips; what they have read
+is looked at once a second."""
+ENOUGH_UNREAD: Final = 16
+"""Unread connections among which the one that makes room is chosen. The search ends
+there, since each new connection of a crowd repeats it."""
 ORDINARY_BYTES: Final = 98_304
 """Largest ordinary request: a body that is kept for another attempt, and its head."""
 
@@ -160,13 +164,18 @@
     unread: int | None = None
     ahead: int | None = None
     longest_time = 0.0
+    unread_count = 0
     for number, connection in enumerate(connections):
         if connection.is_between_requests:
             return number
         if connection.is_unstarted:
             unstarted = number if unstarted is None else unstarted
-        elif connection.unread_time >= max(UNREAD_MS, longest_time):
-            unread, longest_time = number, connection.unread_time
+        elif connection.unread_time >= UNREAD_MS:
+            unread_count += 1
+            if connection.unread_time > longest_time:
+                unread, longest_time = number, connection.unread_time
+            if unread_count == ENOUGH_UNREAD:
+                break
         elif connection.has_requests_ahead:
             ahead = number if ahead is None else ahead
     found = (unstarted, unread, ahead)
--- a/src/galenaferry/callers/tests/test_listener_crowd.py
+++ b/src/galenaferry/callers/tests/test_listener_crowd.py
@@ -18,7 +18,7 @@
     ],
 )
 HEADERS = pytest.mark.parametrize("has_usual_headers", [True, False])
-LISTENERS = pytest.mark.parametrize("listener", ["readiness", "peers"])
+LISTENERS = pytest.mark.parametrize("listener", ["readiness", "peers", "relay"])
 
 
 @SENT
--- a/src/galenaferry/callers/tests/test_replacement.py
+++ b/src/galenaferry/callers/tests/test_replacement.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from galenaferry.callers.decisions import UNREAD_MS, Idleness, choose_replaced
+from galenaferry.callers.decisions import (
+    ENOUGH_UNREAD,
+    UNREAD_MS,
+    Idleness,
+    choose_replaced,
+)
 
 BUSY = Idleness(is_between_requests=False, is_unstarted=False)
 IDLE = Idleness(is_between_requests=True, is_unstarted=False)
@@ -22,6 +27,7 @@
         ([BUSY, READING, AHEAD, UNREAD], 3),
         ([BUSY, READING, AHEAD, AHEAD], 2),
         ([BUSY, READING], None),
+        ([UNREAD] * ENOUGH_UNREAD + [LONG_UNREAD, IDLE], 0),
     ],
 )
 def test_callers_with_one_request_that_read_on_are_never_replaced(
--- a/src/galenaferry/requests/caller_state.py
+++ b/src/galenaferry/requests/caller_state.py
@@ -140,12 +140,13 @@
 
     @property
     def _unread_time(self) -> Millis:
-        """Time for which the caller has read nothing of answers that wait for it."""
+        """Time for which the caller has read nothing of answers that wait for it.
+
+        What it has read is noticed by ``idle_time``.
+        """
         if not self._stream.has_unsent:
             return 0.0
-        now = self._context.loop.clock.now()
-        self.idle_time(now)
-        return now - self._delivered_at
+        return self._context.loop.clock.now() - self._delivered_at
 
     @property
     def is_waiting_for_caller(self) -> bool:
