Answer one request of a connection in a turn of the loop

What callers saw: clients that send requests ahead for what the VM answers itself (the path that says ready at the callers' address, any path without a route, refused requests of the relay port) stopped the process for seconds. 20 connections with 16,000 such requests each kept the loop busy for 17 s at a stretch (load average 20); an ordinary request had no answer after 10 s, and neither did a readiness check.

Cause: such an answer ends within the call that starts the request, so that the next head in the same segment started its request in the same call: up to 1,600 exchanges for each 64 KiB received, one after the other, and that for each connection in one poll.

Change: a connection starts one request in a turn; what the parser finds behind it is queued, as behind a request that waits for its instance, and the next turn comes with call_soon, once at a time. Callbacks of call_soon run for 10 ms before sockets are polled again. Answers keep their order, and nothing is refused that was not.

--- a/src/galenaferry/network/loop.py
+++ b/src/galenaferry/network/loop.py
@@ -25,6 +25,8 @@
 HANGUP_OR_ERROR: Final = select.EPOLLHUP | select.EPOLLERR
 MAX_POLLS_PER_TICK: Final = 32
 """Polls in a row before control returns to the event dispatch of circuits."""
+SOON_MS: Final[Millis] = 10.0
+"""Time for which callbacks of ``call_soon`` run before sockets get their turn."""
 TRACE_FRAMES: Final = 4
 """Innermost frames of a failed callback that are logged."""
 MAX_POLL_WAIT_MS: Final = 200.0
@@ -182,12 +184,17 @@
             self.on_paused(now - previous)
 
     def _run_soon(self) -> None:
+        """Run the waiting callbacks, as far as time permits; the others wait on."""
         callbacks, self._soon_callbacks = self._soon_callbacks, []
-        for callback in callbacks:
+        ends_at = self.clock.now() + SOON_MS
+        for number, callback in enumerate(callbacks, start=1):
             try:
                 callback()
             except Exception as error:
                 self._on_callback_error(error)
+            if self.clock.now() >= ends_at:
+                self._soon_callbacks[:0] = callbacks[number:]
+                return
 
     def _on_callback_error(self, error: Exception) -> None:
         """Log the exception that a callback raised, or raise it."""
--- a/src/galenaferry/requests/caller.py
+++ b/src/galenaferry/requests/caller.py
@@ -110,7 +110,7 @@
 
     def read_on(self) -> None:
         """Read from the caller again (called by the budget)."""
-        self._context.loop.call_soon(self._go_on)
+        self._schedule_turn()
 
     def close(self) -> None:
         """Close the connection, so that its exchanges lose their caller."""
@@ -132,6 +132,7 @@
             self._reader.replace_limits(self._limit_requests(limits))
         self._budget.record_activity(self)
         self._pipeline.unparsed += data
+        self._has_started = False
         self._parse()
         self._update_reading()
         self._budget.relieve()
@@ -162,7 +163,9 @@
         origin, head = self._read_origin(head, self._address)
         self._is_reading_body = True
         request = QueuedRequest(head, origin, self._context.loop.clock.now())
-        if self.has_exchange or self._must_delay_start():
+        # One request a turn: an answer of the VM itself ends within this call, and a
+        # caller that sends many requests at once would keep the loop from others.
+        if self.has_exchange or self._has_started or self._must_delay_start():
             self._pipeline.append(request)
         else:
             self._start(request)
@@ -196,18 +199,7 @@
             return
         request = self._exchange.head
         self._buffered_bytes = 0
-        has_more = self._has_requests_ahead
-        is_body_missing = (
-            self._is_reading_body and not self._pipeline and request.length != 0
-        )
-        must_close = (
-            not request.is_persistent
-            or (self._context.is_stopping and not has_more)
-            or self._is_input_ended
-            or self._is_cut_short
-            or is_body_missing
-        )
-        self._answer.start(request, head, extra, must_close)
+        self._answer.start(request, head, extra, self._is_last_answer(request))
 
     def send_answer_body(self, data: bytes) -> bool:
         """Send a part of the answer body; False when the caller is slow."""
@@ -237,15 +229,16 @@
         self._is_body_paused = False
         if self._answer.is_last or self._is_cut_short:
             self._close_after_answer()
-        elif self._pipeline or self._pipeline.unparsed:
+        elif self._has_requests_ahead:
             # Not within this call: many refusals in a row would exhaust the stack.
-            self._context.loop.call_soon(self._go_on)
+            self._schedule_turn()
         elif self._is_input_ended:
             self._close_after_answer()
         self._update_reading()
 
     def _go_on(self) -> None:
         """Start the next request, parse what has arrived and read on."""
+        self._has_started = False
         if self._is_lingering or not self._stream.is_open:
             return
         if self._exchange is None and self._pipeline and not self._must_delay_start():
@@ -256,6 +249,15 @@
             self._close_after_answer()
         self._update_reading()
 
+    def _schedule_turn(self) -> None:
+        if not self._is_turn_scheduled:
+            self._is_turn_scheduled = True
+            self._context.loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._is_turn_scheduled = False
+        self._go_on()
+
     def _must_delay_start(self) -> bool:
         """Whether the caller must read on first; ``on_drained`` starts it then."""
         if self._stream.is_congested or (
@@ -265,6 +267,7 @@
         return self._is_start_delayed
 
     def _start(self, request: QueuedRequest) -> None:
+        self._has_started = True
         exchange = self._exchange = self._make_exchange(request)
         self._head_bytes = head_memory(request.head)
         exchange.start()
@@ -292,6 +295,8 @@
             self._on_framing_error(error)
         finally:
             self._is_parsing = False
+        if self._pipeline and self._exchange is None and not self._is_start_delayed:
+            self._schedule_turn()
 
     def abort_answer(self) -> None:
         """Close before the end of the answer, so that the caller sees it truncated."""
--- a/src/galenaferry/requests/caller_state.py
+++ b/src/galenaferry/requests/caller_state.py
@@ -4,6 +4,7 @@
 
 from ..callers.decisions import Holding, Idleness
 from ..clock import Millis
+from ..framing.messages import RequestHead
 from ..framing.requests import RequestReader
 from ..network.stream import Stream
 from .context import RequestContext
@@ -39,6 +40,7 @@
         "_delivered_at",
         "_delivered_bytes",
         "_exchange",
+        "_has_started",
         "_head_bytes",
         "_held_bytes",
         "_is_body_paused",
@@ -48,6 +50,7 @@
         "_is_reading_body",
         "_is_reading_over",
         "_is_start_delayed",
+        "_is_turn_scheduled",
         "_pipeline",
         "_reader",
         "_stream",
@@ -73,6 +76,9 @@
         self._is_malformed = False
         self._is_reading_over = False
         self._is_start_delayed = False
+        self._is_turn_scheduled = False
+        # Whether a request has started in this turn of the connection.
+        self._has_started = False
         self.last_progress_at: Millis = context.loop.clock.now()
         self._answered_at: Millis = 0.0
         self._delivered_bytes = 0
@@ -176,6 +182,19 @@
         is_idle = self._is_between_requests
         return Idleness(is_between_requests=is_idle, is_unstarted=not is_idle)
 
+    def _is_last_answer(self, request: RequestHead) -> bool:
+        """Whether the connection closes after the answer to a request."""
+        is_body_missing = (
+            self._is_reading_body and not self._pipeline and request.length != 0
+        )
+        return (
+            not request.is_persistent
+            or (self._context.is_stopping and not self._has_requests_ahead)
+            or self._is_input_ended
+            or self._is_cut_short
+            or is_body_missing
+        )
+
     def _may_parse(self) -> bool:
         if self._is_lingering or self._is_input_ended:
             return False
