Split the copy, the reads and the notices from the follower of a table

The copy of the rows (table_copy), the times of the store's answers and failures (confirmation), the reads with their retries (store_reads), the notices of a reader (reader_notices) and the settings are modules of their own now.

--- a/src/galenaferry/discovery/tests/builders.py
+++ b/src/galenaferry/discovery/tests/builders.py
@@ -5,7 +5,7 @@
 from result import Err, Ok
 
 from galenaferry.clock import FakeClock
-from galenaferry.discovery.follower import FollowerSettings, TableFollower
+from galenaferry.discovery.follower import TableFollower
 from galenaferry.discovery.messages import (
     READ_TIMEOUT_MS,
     HistoryLost,
@@ -14,6 +14,7 @@
     TableRow,
     TableUpdate,
 )
+from galenaferry.discovery.settings import FollowerSettings
 from galenaferry.network.loop import Loop
 
 
--- a/src/galenaferry/discovery/tests/test_confirmation.py
+++ b/src/galenaferry/discovery/tests/test_confirmation.py
@@ -1,8 +1,6 @@
 """Until when a copy of a table is known to be the newest one."""
 
-from galenaferry.discovery.follower import (
-    NEVER_CONFIRMED_MS,
-)
+from galenaferry.discovery.confirmation import NEVER_CONFIRMED_MS
 from galenaferry.discovery.messages import TableNotice
 from galenaferry.discovery.news import MAX_NEWS_AGE_MS
 from galenaferry.discovery.tests.builders import FollowerBench, at, table_update
@@ -73,7 +71,7 @@
     while not bench.follower.is_confirmed:
         deliver_notices(bench, 200.0)
         answered = refuse_fetches(bench, answered)
-        if bench.follower._is_reading:
+        if bench.follower._reads.is_reading:
             bench.source.answer(table_update(20))
         assert bench.clock.now() < 2.0 * MAX_NEWS_AGE_MS
     deliver_notices(bench, 5_000.0)
--- a/src/galenaferry/discovery/tests/test_restored_store.py
+++ b/src/galenaferry/discovery/tests/test_restored_store.py
@@ -7,10 +7,7 @@
 from result import Err, Ok
 
 from galenaferry.clock import FakeClock
-from galenaferry.discovery.follower import (
-    FollowerSettings,
-    TableFollower,
-)
+from galenaferry.discovery.follower import TableFollower
 from galenaferry.discovery.messages import (
     READ_TIMEOUT_MS,
     HistoryLost,
@@ -20,6 +17,7 @@
     TableUpdate,
 )
 from galenaferry.discovery.poll_timing import LONGEST_POLL_MS
+from galenaferry.discovery.settings import FollowerSettings
 from galenaferry.network.loop import Loop
 
 VM_COUNT = 4
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -228,7 +228,7 @@
     bench.source.fail()
     count = len(bench.notices)
     bench.run_for(50.0)
-    bench.follower._broadcast_version()
+    bench.follower._announce_version()
     assert len(bench.notices) == count
 
 
--- a/src/galenaferry/discovery/tests/test_silent_reads.py
+++ b/src/galenaferry/discovery/tests/test_silent_reads.py
@@ -101,7 +101,9 @@
     confirmed_at = bench.clock.now()
     while bench.clock.now() < confirmed_at + age:
         ago = bench.clock.now() - confirmed_at
-        notice = bench.follower._make_notice(at(10), ())._replace(confirmed_ago=ago)
+        notice = bench.follower.notices.make_notice(at(10), ())._replace(
+            confirmed_ago=ago
+        )
         bench.follower.on_notice("10.0.0.1:7000", notice)
         bench.run_for(100.0)
     assert len(bench.source.calls) == calls + 1
--- a/src/galenaferry/network/tests/test_missing_descriptors.py
+++ b/src/galenaferry/network/tests/test_missing_descriptors.py
@@ -8,9 +8,10 @@
 from result import Err
 
 from galenaferry.clock import FakeClock
-from galenaferry.discovery.follower import FollowerSettings, TableFollower
+from galenaferry.discovery.follower import TableFollower
 from galenaferry.discovery.messages import StoreVersion
 from galenaferry.discovery.peer_updates import fetch_from_peer
+from galenaferry.discovery.settings import FollowerSettings
 from galenaferry.network.fetch import FetchRequest, fetch
 from galenaferry.network.listener import Listener
 from galenaferry.network.loop import Loop
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -6,7 +6,7 @@
 
 from ..backends.messages import Instance
 from ..clock import Millis
-from ..discovery.follower import FollowerSettings, TableFollower
+from ..discovery.follower import TableFollower
 from ..discovery.messages import (
     StoreVersion,
     TableNotice,
@@ -17,6 +17,7 @@
 from ..discovery.peer_updates import fetch_from_peer, respond_to_peer
 from ..discovery.poll_timing import PollTiming, derive_poll_timing
 from ..discovery.registry import StoreAvailability
+from ..discovery.settings import FollowerSettings
 from ..logs import logger
 from ..membership.messages import Heartbeat
 from ..network.json_server import JsonRequest, JsonResponse
--- a/src/galenaferry/node/tests/test_keys_between_vms.py
+++ b/src/galenaferry/node/tests/test_keys_between_vms.py
@@ -22,7 +22,7 @@
 def be_earlier(vm):
     """Let a VM keep rows as they are, like a build that knows no tenants."""
     vm.tables._prepare_row = lambda table, row: row
-    vm.tables.configuration._source._prepare_row = lambda table, row: row
+    vm.tables.configuration._reads._source._prepare_row = lambda table, row: row
 
 
 def test_no_key_is_kept_or_given_to_other_vms(monkeypatch):
--- a/src/galenaferry/node/tests/test_unreadable_entries.py
+++ b/src/galenaferry/node/tests/test_unreadable_entries.py
@@ -5,9 +5,10 @@
 import pytest
 
 from galenaferry.clock import FakeClock
-from galenaferry.discovery.follower import FollowerSettings, TableFollower
+from galenaferry.discovery.follower import TableFollower
 from galenaferry.discovery.messages import StoreVersion, TableRow, TableUpdate
 from galenaferry.discovery.registry import StoreAvailability
+from galenaferry.discovery.settings import FollowerSettings
 from galenaferry.discovery.tests.builders import FakeSource
 from galenaferry.network.loop import Loop
 from galenaferry.node.instances import InstanceUpdater
