Tell from how old a list and why an instance was chosen

The line of a request now has chosen_from for each attempt: version, source and age of the list, and whether the instance was listed, in its grace period, a last resort or a relay. The lines on instances tell how long ago the store can have had the change at most, and for how long an instance stays in use without its row. The gauge instances.unlisted counts these instances.

--- a/src/galenaferry/backends/messages.py
+++ b/src/galenaferry/backends/messages.py
@@ -1,7 +1,9 @@
 """Instances of backend servers, their load and the criteria for choosing one."""
 
+from enum import Enum
 from typing import NamedTuple
 
+from ..clock import Millis
 from ..configuration.policy import Policy
 
 
@@ -17,6 +19,8 @@
     milliseconds until which it is slow after its start. ``sequence`` grows with each
     report that the instance makes of itself. ``version`` is that of its software.
     ``is_relay`` says that it is another VM, which passes requests on to instances.
+    ``is_unlisted`` says that its row was removed, and that it stays in use for a while
+    as it may be listed again.
     """
 
     address: str
@@ -30,6 +34,7 @@
     sequence: int = 0
     version: str = ""
     is_relay: bool = False
+    is_unlisted: bool = False
 
     @property
     def name(self) -> str:
@@ -55,6 +60,29 @@
     may_relay: bool = False
 
 
+class Use(Enum):
+    """Why an instance may be chosen."""
+
+    LISTED = "listed"
+    GRACE_PERIOD = "grace period"
+    LAST_RESORT = "last resort"
+    RELAY = "relay"
+
+
+class ListState(NamedTuple):
+    """State of the list of instances when an instance was chosen, for the log.
+
+    ``version`` is the version of the store up to which the list was complete,
+    ``source`` where its latest update came from, and ``confirmed_ago`` the time in
+    milliseconds since it was known to be the newest one.
+    """
+
+    version: str
+    source: str
+    confirmed_ago: Millis
+    use: Use
+
+
 class Load(NamedTuple):
     """Current load of an instance as seen by this VM.
 
--- a/src/galenaferry/discovery/confirmation.py
+++ b/src/galenaferry/discovery/confirmation.py
@@ -21,12 +21,16 @@
     ----------
     failed_at : float or None
         Latest failed read in an outage, by this VM or as a reader's notice says.
+    last_confirmed_at : float
+        Latest time at which the store is known to have had no changes that the copy
+        lacks. Unlike ``confirmed_ago`` it outlasts ``forget``.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._confirmed_at: Millis = -math.inf
         self.failed_at: Millis | None = None
+        self.last_confirmed_at: Millis = -math.inf
 
     @property
     def has_been_confirmed(self) -> bool:
@@ -48,6 +52,7 @@
     def confirm(self, at: Millis) -> None:
         """Record that the store had no changes at a time that the copy lacks."""
         self._confirmed_at = max(self._confirmed_at, at)
+        self.last_confirmed_at = max(self.last_confirmed_at, at)
 
     def forget(self) -> None:
         """Forget until when the copy was confirmed, such as after a pause."""
--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -123,6 +123,8 @@
         self.source = ""
         # Time for which this VM had known of the latest update when it was applied.
         self.was_behind_for: Millis = 0.0
+        # Latest time at which the store is known not to have had the latest update.
+        self.unchanged_until: Millis = -math.inf
         self.missed_notices = 0
 
     @property
@@ -254,7 +256,7 @@
             and not self._copy.is_new_era(notice.version)
         ):
             update = TableUpdate(notice.version, notice.rows, is_snapshot=False)
-            self._apply(update, address)
+            self._apply(update, address, self._confirmation.last_confirmed_at)
             self._on_notice_confirmed(notice)
         elif not self._reads.is_reading:
             self._catch_up()
@@ -340,7 +342,8 @@
             self._reads.read()
 
     def _on_peer_update(self, update: TableUpdate, address: str) -> None:
-        has_changed = self._apply(update, address)
+        unchanged_until = self._confirmation.last_confirmed_at
+        has_changed = self._apply(update, address, unchanged_until)
         if update.is_snapshot:
             # The store has the changes after it, or says that it has not.
             self._reads.needs_full_read = False
@@ -353,19 +356,24 @@
 
     def on_read(self, update: TableUpdate, answered_at: Millis) -> None:
         """Apply the result of a read (called by ``StoreReads``)."""
+        unchanged_until = self._confirmation.last_confirmed_at
         if update.version >= self.version:
             self._confirmation.confirm(answered_at)
         is_first = not self.is_loaded
         try:
-            self.on_late_read(update)
+            self._publish(update, unchanged_until)
         finally:
             # Reads go on also after a failure of a listener.
             self._continue_reading(update, is_first)
 
     def on_late_read(self, update: TableUpdate) -> None:
-        """Tell the zone of a result, and apply it (called by ``StoreReads``)."""
+        """Apply the result of an earlier read (called by ``StoreReads``)."""
+        self._publish(update, self._confirmation.last_confirmed_at)
+
+    def _publish(self, update: TableUpdate, unchanged_until: Millis) -> None:
+        """Tell the zone of what this VM has read, and apply it."""
         self.notices.send_update(update)
-        self._apply(update, STORE_SOURCE)
+        self._apply(update, STORE_SOURCE, unchanged_until)
 
     def on_failed_read(self) -> None:
         """Record a failed read (called by ``StoreReads``)."""
@@ -385,11 +393,12 @@
             delay = max(delay, ROLE_DELAY_MS)
         self._reads.read_again_after(update, delay)
 
-    def _apply(self, update: TableUpdate, source: str) -> bool:
+    def _apply(self, update: TableUpdate, source: str, unchanged_until: Millis) -> bool:
         """Apply an update from a source; return whether any row changed.
 
-        Changes of a new era need not follow from the rows of the one before, so only
-        a snapshot is accepted then.
+        The store did not have its changes at ``unchanged_until``. Changes of a new era
+        need not follow from the rows of the one before, so only a snapshot is accepted
+        then.
         """
         if update.version < self.version:
             return False
@@ -402,6 +411,7 @@
             # outage of the store.
             self._confirmation.failed_at = self._loop.clock.now()
         self.source = source
+        self.unchanged_until = unchanged_until
         self.was_behind_for = self.behind_for
         changed = self._copy.merge(update)
         if changed:
--- a/src/galenaferry/discovery/registry.py
+++ b/src/galenaferry/discovery/registry.py
@@ -12,6 +12,7 @@
 removed counts again once its instance has reported since.
 """
 
+import math
 from collections import Counter
 from typing import Final, NamedTuple, TypeVar
 
@@ -34,10 +35,13 @@
     """Whether the store responds to this VM, and when it last failed.
 
     ``failed_at`` is a monotonic time in milliseconds, None if it never failed.
+    ``unchanged_until`` is one at which the store did not have the changes yet that are
+    applied now.
     """
 
     is_unavailable: bool
     failed_at: Millis | None
+    unchanged_until: Millis = -math.inf
 
 
 class InstanceRegistry:
@@ -92,7 +96,9 @@
                 self._forget(key)
         unused_keys = self._unused_keys()
         return tuple(
-            instance
+            instance._replace(is_unlisted=True)
+            if key in self._expires_at_by_key
+            else instance
             for key, instance in self._instance_by_key.items()
             if key not in unused_keys
         )
@@ -119,6 +125,12 @@
         self._expires_at_by_key.pop(key, None)
         _remember(self._removed_sequence_by_name, instance.name, instance.sequence)
 
+    def used_until(self, key: str) -> Millis | None:
+        """Return the end of the grace period of an instance that is used in it."""
+        if key in self._unused_keys():
+            return None
+        return self._expires_at_by_key.get(key)
+
     def next_expiry(self) -> Millis | None:
         """Return when the next grace period ends, None if there is none."""
         return min(self._expires_at_by_key.values(), default=None)
--- a/src/galenaferry/node/component.py
+++ b/src/galenaferry/node/component.py
@@ -10,9 +10,7 @@
 from ..backends.messages import Instance
 from ..backends.ownership import Vm
 from ..callers.budget import CallerBudget
-from ..discovery.messages import (
-    TableNotice,
-)
+from ..discovery.messages import TableNotice
 from ..discovery.readers import is_reader
 from ..drain.component import DrainComponent
 from ..health.messages import Outcomes
@@ -39,6 +37,7 @@
 from .crash_protection import CrashProtection
 from .gauges import MeasuredParts, make_gauges
 from .interfaces import Interfaces
+from .list_state import ListStateReader
 from .listeners import Listeners
 from .membership_times import HEARTBEAT_SETTINGS, LIVENESS
 from .metrics import NodeMetrics
@@ -223,6 +222,7 @@
                 settings.second_attempts_percent, self.placement
             ),
             callers=CallerBudget(settings.listener_bounds.callers),
+            list_state=ListStateReader(self.tables.instances, self.placement).read,
         )
         if settings.has_admission_control:
             self.context.admission = AdmissionCheck(
@@ -386,9 +386,7 @@
         fields = summary.log_fields(now) | {"configuration": self.routes.version}
         if summary.is_rejection:
             fields |= self.tables.describe_configuration_age()
-        request_log.info(
-            "request", is_minor=summary.is_single_attempt_success, **fields
-        )
+        request_log.info("request", is_minor=summary.is_ordinary, **fields)
 
     def _on_drain_announced(self) -> None:
         clock, placement = self.loop.clock, self.placement
--- a/src/galenaferry/node/gauges.py
+++ b/src/galenaferry/node/gauges.py
@@ -56,6 +56,11 @@
         instances_missed_notices=lambda: tables.instances.missed_notices,
         configuration_confirmed_ago_ms=lambda: tables.configuration.confirmed_ago,
         instances_confirmed_ago_ms=lambda: tables.instances.confirmed_ago,
+        instances_unlisted=lambda: sum(
+            instance.is_unlisted
+            for instances in placement.by_service.values()
+            for instance in instances
+        ),
         instances_version=lambda: tables.instances.version.counter,
         is_store_away=lambda: float(tables.instances.is_store_unavailable),
         live_members=lambda: len(parts.members.live(parts.clock.now())),
--- a/src/galenaferry/node/instances.py
+++ b/src/galenaferry/node/instances.py
@@ -1,10 +1,12 @@
 """Keeps the list of instances up to date with the store."""
 
+import math
 from collections.abc import Callable
 
 from result import Err
 
 from ..backends.messages import Instance
+from ..clock import Millis
 from ..discovery.messages import TableRow
 from ..discovery.registry import InstanceRegistry, StoreAvailability
 from ..logs import logger
@@ -25,7 +27,7 @@
     loop : Loop
     adapter : Adapter
     store_availability : callable
-        Returns whether the store responds to this VM, and when it last failed.
+        Returns whether the store responds, and what is known of the latest change.
     on_instances : callable
         Called with all instances in use after every change.
     """
@@ -46,10 +48,11 @@
     def on_change(self, rows: tuple[TableRow, ...]) -> None:
         """Apply changed rows."""
         now = self._loop.clock.now()
+        removed_keys: list[str] = []
         for row in rows:
             if row.value is None:
                 self._registry.remove(row.key, self._store_availability(), now)
-                log.info("row of an instance removed", instance=row.key)
+                removed_keys.append(row.key)
                 continue
             result = self._adapter.decode_instance(row.key, row.value, now)
             if isinstance(result, Err):
@@ -74,9 +77,27 @@
                 service=instance.service,
                 address=instance.address,
                 leaving=instance.is_leaving,
+                changed_within_ms=self._changed_within(now),
             )
+        self._log_removed(removed_keys, now)
         self._publish()
 
+    def _log_removed(self, keys: list[str], now: Millis) -> None:
+        """Log removed rows, and for how long their instances stay in use."""
+        for key in keys:
+            used_until = self._registry.used_until(key)
+            log.info(
+                "row of an instance removed",
+                instance=key,
+                changed_within_ms=self._changed_within(now),
+                used_for_ms=0 if used_until is None else int(used_until - now),
+            )
+
+    def _changed_within(self, now: Millis) -> int | None:
+        """Return how long ago the rows changed at most, None if that is not known."""
+        unchanged_until = self._store_availability().unchanged_until
+        return int(now - unchanged_until) if unchanged_until > -math.inf else None
+
     def _publish(self) -> None:
         now = self._loop.clock.now()
         self._on_instances(self._registry.instances(now))
--- a/src/galenaferry/node/metrics.py
+++ b/src/galenaferry/node/metrics.py
@@ -40,6 +40,7 @@
     instances_missed_notices: Callable[[], float]
     configuration_confirmed_ago_ms: Callable[[], float]
     instances_confirmed_ago_ms: Callable[[], float]
+    instances_unlisted: Callable[[], float]
     instances_version: Callable[[], float]
     is_store_away: Callable[[], float]
     live_members: Callable[[], float]
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -109,7 +109,10 @@
         self._listeners = listeners
         self._configuration_updater = ConfigurationUpdater(adapter, routes)
         instance_updater = InstanceUpdater(
-            loop, adapter, self._instances_availability, listeners.on_instances
+            loop,
+            adapter,
+            self._instances_availability,
+            listeners.on_instances,
         )
         startup_delay = FIRST_START_DELAY_MS if is_first_start else 0.0
         self.configuration = TableFollower(
@@ -275,7 +278,9 @@
 
     def _instances_availability(self) -> StoreAvailability:
         return StoreAvailability(
-            self.instances.is_outage_confirmed, self.instances.failed_at
+            self.instances.is_outage_confirmed,
+            self.instances.failed_at,
+            self.instances.unchanged_until,
         )
 
     def _fetch_from_peer(
--- a/src/galenaferry/requests/attempt_runner.py
+++ b/src/galenaferry/requests/attempt_runner.py
@@ -220,6 +220,7 @@
         """Start an attempt."""
         context = self._context
         instance = running.instance
+        running.list_state = context.list_state(instance)
         pool = context.directory.pool(instance)
         connection = pool.acquire(route.is_idempotent, self.share, self._request_id)
         context.counters.remote_zone += instance.zone != context.directory.zone
@@ -362,7 +363,8 @@
             self._tried_addresses -= {instance.address}
         is_of_head = outcome is running.judged
         ended_at = running.head_at if is_of_head else self._context.loop.clock.now()
-        self._summary.add_attempt(instance, outcome, ended_at - attempt.started_at)
+        took = ended_at - attempt.started_at
+        self._summary.add_attempt(instance, outcome, took, running.list_state)
         if isinstance(outcome, LOST_WHILE_RUNNING):
             self._summary.fingerprint = self.gate.fingerprint
         tell_gate(self.gate, instance, outcome)
--- a/src/galenaferry/requests/context.py
+++ b/src/galenaferry/requests/context.py
@@ -8,6 +8,7 @@
 from ..attempts.budget import Budget, RetryBudget
 from ..attempts.messages import Evidence
 from ..backends.directory import Backends
+from ..backends.messages import Instance, ListState
 from ..callers.budget import CallerBudget
 from ..claims.component import ClaimsComponent
 from ..clock import Millis
@@ -122,7 +123,8 @@
     ``admission`` decides whether requests are sent to services that lack room, None
     if all are. ``second_attempts`` permits second attempts of slow requests; without
     it there are none. ``callers`` counts what is held for the callers of all
-    listeners.
+    listeners. ``list_state`` returns from what list an instance is chosen now, for the
+    log.
     """
 
     loop: Loop
@@ -150,6 +152,7 @@
     admission: AdmissionCheck | None = None
     second_attempts: SecondAttempts | None = None
     callers: CallerBudget = field(default_factory=CallerBudget)
+    list_state: Callable[[Instance], ListState | None] = lambda instance: None
 
     def begin_shutdown(self, policy: ShutdownPolicy) -> None:
         """Answer with ``Connection: close`` and pass on only what can end in time."""
--- a/src/galenaferry/requests/running_attempt.py
+++ b/src/galenaferry/requests/running_attempt.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from ..attempts.messages import AttemptOutcome
-from ..backends.messages import Instance
+from ..backends.messages import Instance, ListState
 from ..clock import Millis
 from ..framing.messages import ResponseHead
 from .attempt import Attempt, AttemptOwner
@@ -49,6 +49,8 @@
         Monotonic time in milliseconds at which it arrived.
     watch : OverdueWatch or None
     holder : ResponseHolder or None
+    list_state : ListState or None
+        From what list the instance was chosen, for the log.
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         "instance",
         "is_borrowed",
         "judged",
+        "list_state",
         "watch",
     )
 
@@ -73,6 +76,7 @@
         self.head_at: Millis = 0.0
         self.watch: OverdueWatch | None = None
         self.holder: ResponseHolder | None = None
+        self.list_state: ListState | None = None
 
     def release(self) -> None:
         """Drop the attempt and its watch.
--- a/src/galenaferry/requests/summary.py
+++ b/src/galenaferry/requests/summary.py
@@ -13,7 +13,7 @@
     NotConnected,
     RelayRefused,
 )
-from ..backends.messages import Instance
+from ..backends.messages import Instance, ListState, Use
 from ..clock import Millis
 from ..framing.messages import RequestHead
 
@@ -45,6 +45,7 @@
 
     __slots__ = (
         "_attempts",
+        "_list_states",
         "buffered_body_bytes",
         "fingerprint",
         "head",
@@ -73,6 +74,14 @@
         self.buffered_body_bytes = 0
         self.fingerprint = b""
         self._attempts: list[tuple[str, str, int]] = []
+        self._list_states: list[ListState] = []
+
+    @property
+    def is_ordinary(self) -> bool:
+        """Whether it was a success at the first attempt, at a listed instance."""
+        return self.is_single_attempt_success and all(
+            state.use is Use.LISTED for state in self._list_states
+        )
 
     @property
     def is_single_attempt_success(self) -> bool:
@@ -100,9 +109,18 @@
         return is_client_error and bool(self.reason)
 
     def add_attempt(
-        self, instance: Instance, outcome: AttemptOutcome, took: Millis
+        self,
+        instance: Instance,
+        outcome: AttemptOutcome,
+        took: Millis,
+        list_state: ListState | None = None,
     ) -> None:
-        """Add an attempt that ended after ``took`` milliseconds."""
+        """Add an attempt that ended after ``took`` milliseconds.
+
+        ``list_state`` tells from what list its instance was chosen.
+        """
+        if list_state is not None:
+            self._list_states.append(list_state)
         self.sent_count += not isinstance(outcome, UNDELIVERED)
         self._attempts.append((instance.name, repr(outcome), int(took)))
 
@@ -123,6 +141,11 @@
             "took_ms": int(now - self.started_at),
             "attempts": self._attempts,
         }
+        if self._list_states:
+            fields["chosen_from"] = [
+                (state.version, state.source, int(state.confirmed_ago), state.use.value)
+                for state in self._list_states
+            ]
         if self.workspace:
             fields["workspace"] = self.workspace
         if self.is_rejection:
