Reproduce the use of removed instances past the drain timeout

These tests play whole fleets on a fake clock: the store refuses the calls of one reader, or of one zone, for a second, and at 15 moments around it the rows of 1, 3 or 8 of 8 instances are removed.

--- a/src/galenaferry/node/tests/configuration_fleet.py
+++ b/src/galenaferry/node/tests/configuration_fleet.py
@@ -81,6 +81,7 @@
         self.value = b""
         # Value and version of each row, by table and key.
         self._row_by_key_by_table = {"op": {}, "servers": {}}
+        self._removed_version_by_key_by_table = {"op": {}, "servers": {}}
         self.silent = set()
         self.refused = set()
         self._polls = []
@@ -94,6 +95,10 @@
     def put_row(self, table, key, value):
         self.version += 1
         self._row_by_key_by_table[table][key] = value, self.version
+        self._removed_version_by_key_by_table[table].pop(key, None)
+        self._answer_polls(table)
+
+    def _answer_polls(self, table):
         polls, self._polls = self._polls, []
         for poll in polls:
             if poll.table == table:
@@ -101,6 +106,14 @@
             else:
                 self._polls.append(poll)
 
+    def remove_rows(self, table, keys):
+        """Remove rows in one transaction."""
+        for key in keys:
+            del self._row_by_key_by_table[table][key]
+            self._removed_version_by_key_by_table[table][key] = self.version + 1
+        self.version += 1
+        self._answer_polls(table)
+
     def silence_connections(self, hosts):
         """Never answer the pending polls of some hosts; their new calls work."""
         for poll in self._polls:
@@ -140,6 +153,10 @@
             {"key": key, "value": base64.b64encode(value).decode(), "ver": version}
             for key, (value, version) in self._row_by_key_by_table[table].items()
             if version > after
+        ] + [
+            {"key": key, "removed": True, "ver": version}
+            for key, version in self._removed_version_by_key_by_table[table].items()
+            if after and version > after
         ]
 
     def _rows(self, table, after):
@@ -199,6 +216,9 @@
             lambda: self.tables.is_configuration_outdated,
         )
         self.applied_at = {}
+        # Names of the instances in use, and when each was last taken out of use.
+        self.used_ids = frozenset()
+        self.last_used_at = {}
         self.is_stopped = False
         loop = HostLoop(fleet, self.host)
         self.peers = PeersComponent(
@@ -214,7 +234,7 @@
             make_adapter(settings, loop),
             self.routes,
             FleetAccess(self._is_designated_reader, self._send_notice, self._is_near),
-            TableListeners(lambda rows: None, self._on_configuration, lambda: None),
+            TableListeners(self._on_instances, self._on_configuration, lambda: None),
             Random(number),
             is_first_start=False,
             configuration_timeout=fleet.configuration_timeout,
@@ -273,6 +293,12 @@
         receivers = self.fleet.random.sample(others, HEARTBEAT_FANOUT)
         self.peers.send_to_all([vm.address for vm in receivers], heartbeat)
 
+    def _on_instances(self, instances):
+        used_ids = frozenset(i.id for i in instances if not i.is_leaving)
+        now = self.fleet.clock.now()
+        self.last_used_at |= dict.fromkeys(self.used_ids - used_ids, now)
+        self.used_ids = used_ids
+
     def _on_configuration(self):
         self.applied_at.setdefault(self.routes.version, self.fleet.clock.now())
 
