Let refused readers pass on at once what other zones have read

VMs of a zone whose readers the store refuses heard 0.65 s late that instances left, and then used them for up to a grace period: news from the readers of other zones waited for a read that could not succeed (PEER_FETCH_DELAY_MS plus the coalescing delay). Nothing told these VMs that the store answered others, so that their own first answer looked like the end of an outage.

A reader whose reads fail now forwards the rows that another zone's reader sends, fetches at once what a notice only names, and announces that the store answers others, twice a second at most. All announcements keep the age of the confirmation.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -110,6 +110,7 @@
             lambda: settings.is_shared and is_designated_reader(),
             broadcast,
         )
+        self._is_near = is_near
         self._on_restored = on_restored
         self._is_designated_reader = is_designated_reader
         # Latest time at which a reader is known to have heard of the store.
@@ -227,6 +228,8 @@
         self._peers.on_version(address, notice.version)
         if notice.version <= self.version:
             self._confirmation.confirm(notice.confirmed_at(now))
+            if self._speaks_for_others(address):
+                self.notices.announce_if_due()
             return
         if self._reads.is_reading:
             # The next read may wait for further changes first.
@@ -243,9 +246,23 @@
             update = TableUpdate(notice.version, notice.rows, is_snapshot=False)
             self._apply(update, address, self._confirmation.last_confirmed_at)
             self._confirmation.confirm(notice.confirmed_at(now))
-        elif not self._reads.is_reading:
+            if self._speaks_for_others(address):
+                self.notices.forward(notice)
+        elif self._relies_on_others:
             self._catch_up()
 
+    @property
+    def _relies_on_others(self) -> bool:
+        """Whether changes reach this VM by way of other VMs alone."""
+        return not self._reads.is_reading or self.is_store_unavailable
+
+    def _speaks_for_others(self, address: str) -> bool:
+        """Whether this zone hears only from this VM what the VM at ``address`` tells.
+
+        Its readers are told by those of other zones.
+        """
+        return self.is_store_unavailable and not self._is_near(address)
+
     def _check_own_read(self, notice: TableNotice) -> None:
         """Replace a read that has missed what another reader's notice told.
 
--- a/src/galenaferry/discovery/tests/builders.py
+++ b/src/galenaferry/discovery/tests/builders.py
@@ -61,7 +61,14 @@
 class FollowerBench:
     """A table follower with a fake clock, store and peers."""
 
-    def __init__(self, coalescing_delay=0.0, is_shared=False, seed=1, **settings):
+    def __init__(
+        self,
+        coalescing_delay=0.0,
+        is_shared=False,
+        seed=1,
+        is_near=lambda address: True,
+        **settings,
+    ):
         self.clock = FakeClock(1000.0)
         self.loop = Loop(self.clock)
         self.source = FakeSource()
@@ -82,6 +89,7 @@
             lambda: self.is_designated_reader,
             self.notices.append,
             self._count_restore,
+            is_near,
         )
         self.follower.begin()
 
--- a/src/galenaferry/discovery/tests/test_shared_table.py
+++ b/src/galenaferry/discovery/tests/test_shared_table.py
@@ -447,3 +447,40 @@
         bench.run_for(50.0)
         bench.source.fail()
     assert [n.version for n in bench.notices if n.rows == TWO] == [at(12)]
+
+
+def make_refused_reader():
+    """Return a reader whose reads fail; only VMs in 10.0.0.0/24 are near."""
+    bench = FollowerBench(is_shared=True, is_near=lambda a: a.startswith("10.0.0."))
+    bench.source.answer(table_update(10, True, config=b"one"))
+    bench.run_for(ROLE_DELAY_MS + 5.0)
+    bench.source.fail()
+    bench.notices.clear()
+    return bench
+
+
+def test_a_refused_reader_passes_on_at_once_what_other_zones_have_read():
+    bench = make_refused_reader()
+    notice = TableNotice(at(10), at(12), TWO, confirmed_ago=20.0)
+    bench.follower.on_notice("10.0.9.1:7000", notice)
+    assert bench.notices == [notice]
+    bench.follower.on_notice("10.0.8.1:7000", notice)
+    assert [n.rows for n in bench.notices if n.rows] == [TWO]
+
+
+def test_a_refused_reader_tells_its_zone_that_the_store_answers_others():
+    bench = make_refused_reader()
+    bench.run_for(500.0)
+    notice = TableNotice(at(10), at(10), (), confirmed_ago=20.0)
+    for _ in range(4):
+        bench.follower.on_notice("10.0.9.1:7000", notice)
+        bench.run_for(200.0)
+    assert 1 <= len(bench.notices) <= 2
+    assert bench.notices[0].confirmed_ago == 20.0
+
+
+def test_a_refused_reader_leaves_it_to_the_sender_to_tell_their_common_zone():
+    bench = make_refused_reader()
+    notice = TableNotice(at(10), at(12), TWO, confirmed_ago=20.0)
+    bench.follower.on_notice("10.0.0.2:7000", notice)
+    assert bench.notices == []
