End responses to health checks at their heads

A VM whose requests stay unanswered asks up to 16 instances for their health, to learn whether its own links are cut. network/fetch.py kept up to 64 MB of each answer for one second, though only its arrival counts.

A request may now say that it needs no body; its response ends with the head, which has at most 64 KiB, and the connection is closed. Health checks and writes to the store use it.

--- a/src/galenaferry/callers/tests/daemon.py
+++ b/src/galenaferry/callers/tests/daemon.py
@@ -148,6 +148,39 @@
         self._stream.close()
 
 
+class EndlessConnection:
+    """Connection of an instance that leaves requests unanswered.
+
+    Its answer to a health check, ``first`` and then ``part`` again and again, ends when
+    the client closes. ``checks`` counts them.
+    """
+
+    checks = 0
+
+    def __init__(self, loop, sock, first, part):
+        self._first = first
+        self._part = part
+        self._is_answering = False
+        self._stream = Stream(loop, sock, self, is_connecting=False)
+
+    def on_data(self, data):
+        if data.startswith(b"GET /health ") and not self._is_answering:
+            EndlessConnection.checks += 1
+            self._is_answering = True
+            self._stream.write(self._first)
+            self.on_drained()
+
+    def on_drained(self):
+        while self._is_answering and not self._stream.has_unsent:
+            if not self._stream.is_open:
+                return
+            self._stream.write(self._part)
+
+    def on_ended(self, reason):
+        self._is_answering = False
+        self._stream.close()
+
+
 class CrowdConnection:
     """Client that sends requests and reads nothing, unless it is told to."""
 
@@ -181,12 +214,13 @@
 
     def __init__(self, folder, memory_mb, descriptors, instances=4):
         self.loop = Loop()
+        self.instance_connection = _InstanceConnection
         self._store = _Store(self.loop)
         self._listeners = [
             Listener(
                 self.loop,
                 (LOOPBACK, 0),
-                lambda sock: _InstanceConnection(self.loop, sock),
+                lambda sock: self.instance_connection(self.loop, sock),
             )
             for _ in range(instances)
         ]
@@ -243,6 +277,19 @@
                 return True
         return False
 
+    def restore_instances(self):
+        """Let new connections to instances be answered again."""
+        self.instance_connection = _InstanceConnection
+
+    def is_served_again(self, data):
+        """Return whether an ordinary request gets 200, after refusals if need be."""
+        ends_at = time.monotonic() + START_S
+        while time.monotonic() < ends_at:
+            if self.answer_status(data) == 200:
+                return True
+            self.run(lambda: False, 0.5)
+        return False
+
     def wait_until_ready(self):
         ready = request("/ready")
         ends_at = time.monotonic() + START_S
--- a/src/galenaferry/network/fetch.py
+++ b/src/galenaferry/network/fetch.py
@@ -24,7 +24,8 @@
     ``stall_timeout`` it limits the time until the first part of the response, and the
     time between two parts is limited by ``stall_timeout``: a large response on a slow
     link then takes as long as it needs, up to ``MAX_TRANSFER_MS``. ``connect_timeout``
-    limits the time until the connection is established.
+    limits the time until the connection is established. Without ``needs_body`` the
+    response ends with its head, and the connection is closed then.
     """
 
     address: tuple[str, int]
@@ -35,10 +36,11 @@
     timeout: Millis = 2000.0
     stall_timeout: Millis | None = None
     connect_timeout: Millis | None = None
+    needs_body: bool = True
 
 
 class FetchResponse(NamedTuple):
-    """A response with its whole body."""
+    """A response with its whole body, an empty one if it was not needed."""
 
     status: int
     headers: tuple[Header, ...]
@@ -134,9 +136,12 @@
 
     def on_response_head(self, head: ResponseHead) -> None:
         self._head = head
+        if not self._request.needs_body:
+            self._finish(Ok(FetchResponse(head.status, head.headers, b"")))
 
     def on_response_body(self, data: bytes) -> None:
-        self._body.append(data)
+        if not self._is_done:
+            self._body.append(data)
 
     def on_response_complete(self) -> None:
         assert self._head is not None
--- a/src/galenaferry/network/tests/test_fetch.py
+++ b/src/galenaferry/network/tests/test_fetch.py
@@ -4,7 +4,12 @@
 
 from galenaferry.clock import FakeClock
 from galenaferry.network import fetch as fetch_module
-from galenaferry.network.fetch import MAX_TRANSFER_MS, FetchRequest, fetch
+from galenaferry.network.fetch import (
+    MAX_TRANSFER_MS,
+    FetchRequest,
+    FetchResponse,
+    fetch,
+)
 from galenaferry.network.loop import Loop
 
 ADDRESS = ("10.0.0.1", 80)
@@ -133,3 +138,22 @@
     bench.run_for(5_000.0)
     assert bench.clock.now() - 1000.0 <= 720.0
     assert bench.results[0].is_err()
+
+
+def test_a_response_of_which_only_the_status_counts_ends_with_its_head(monkeypatch):
+    bench = FetchBench(monkeypatch, timeout=1_000.0, needs_body=False)
+    bench.owner.on_connected()
+    bench.owner.on_data(HEAD + b"x" * 65_000)
+    assert bench.results[0].ok() == FetchResponse(
+        200, ((b"content-length", b"100000"),), b""
+    )
+    assert not bench.stream.is_open
+    assert bench.owner._body == []
+
+
+def test_a_head_without_an_end_is_given_up(monkeypatch):
+    bench = FetchBench(monkeypatch, timeout=1_000.0, needs_body=False)
+    bench.owner.on_connected()
+    bench.run_for(900.0, feed=b"HTTP/1.1 200 OK\r\nFiller: " + b"x" * 65_536)
+    assert "head of the response is too large" in bench.error
+    assert not bench.stream.is_open
--- a/src/galenaferry/platform/store.py
+++ b/src/galenaferry/platform/store.py
@@ -156,6 +156,7 @@
             ((b"content-type", b"application/json"),),
             json.dumps(body).encode(),
             WRITE_TIMEOUT_MS,
+            needs_body=False,
         )
 
         def finish(result: FetchResult) -> None:
--- a/src/galenaferry/relay/answer_check.py
+++ b/src/galenaferry/relay/answer_check.py
@@ -59,6 +59,7 @@
             check.path,
             timeout=ANSWER_TIMEOUT_MS,
             connect_timeout=CONNECT_TIMEOUT_MS,
+            needs_body=False,
         )
         fetch(self._loop, request, self._on_response)
 
--- a/src/galenaferry/relay/tests/test_answer_check.py
+++ b/src/galenaferry/relay/tests/test_answer_check.py
@@ -25,6 +25,7 @@
 
     def _fetch(self, loop, request, done):
         assert request.target == "/health"
+        assert not request.needs_body
         self.asked.append(done)
 
     def run_for(self, interval):
