--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -26,6 +26,7 @@
 from .outages import OutageDetector
 from .peer_fetches import FetchFromPeer, PeerFetches
 from .reader_notices import ReaderNotices
+from .reader_role import ReaderRole
 from .readers import ANNOUNCE_INTERVAL_MS
 from .settings import FollowerSettings
 from .store_reads import StoreReads
@@ -101,21 +102,18 @@
         self._reads = StoreReads(
             loop, settings, source, random, self._copy, self._confirmation, self
         )
+        self._role = ReaderRole(clock, settings, is_designated_reader)
         self.notices = ReaderNotices(
             clock,
             settings.table,
             self._copy,
             self._confirmation,
             self.outages,
-            lambda: settings.is_shared and is_designated_reader(),
+            self._role.may_tell,
             broadcast,
         )
         self._is_near = is_near
         self._on_restored = on_restored
-        self._is_designated_reader = is_designated_reader
-        # Latest time at which a reader is known to have heard of the store.
-        self._reader_heard_at: Millis = -math.inf
-        self._starts_reading_at: Millis = -math.inf
         # Whether the pending read is to return news that other VMs have not sent.
         self._is_news_read = False
         self._is_news_read_due = False
@@ -163,10 +161,7 @@
 
     @property
     def confirmed_ago(self) -> Millis:
-        """Time since the store is known to have had no changes that this copy lacks.
-
-        It is ``NEVER_CONFIRMED_MS`` if that never was known.
-        """
+        """Time since the store is known to have had no changes that this copy lacks."""
         return self._confirmation.confirmed_ago
 
     @property
@@ -184,8 +179,7 @@
         delay = self._settings.startup_delay
         if delay:
             # A VM that is no reader then waits for the first notice.
-            self._reader_heard_at = self._loop.clock.now() + delay
-            self._starts_reading_at = self._reader_heard_at
+            self._role.wait(delay)
         else:
             self._reads.read()
         if self._settings.is_shared:
@@ -195,7 +189,7 @@
     def end_startup_delay(self) -> None:
         """Read the table now if the startup delay is not over and nothing is known."""
         if not self.is_loaded and not self._reads.is_reading:
-            self._starts_reading_at = self._loop.clock.now()
+            self._role.end_wait()
             self._reads.read()
 
     def refresh(self) -> None:
@@ -217,13 +211,9 @@
             self._peers.fetch()
 
     def on_notice(self, address: str, notice: TableNotice) -> None:
-        """Apply a reader's notice, or fetch from the reader what is missing.
-
-        A VM that reads the table itself fetches only if its read is late.
-        """
+        """Apply a notice, or fetch what is missing unless a read should return it."""
         now = self._loop.clock.now()
-        heard_at = now - (notice.confirmed_ago or 0.0)
-        self._reader_heard_at = max(self._reader_heard_at, heard_at)
+        self._role.on_reader_heard(now - (notice.confirmed_ago or 0.0))
         self.outages.on_told_answer(notice.confirmed_at(now), notice.back_ago)
         self._peers.on_version(address, notice.version)
         if notice.version <= self.version:
@@ -257,10 +247,7 @@
         return not self._reads.is_reading or self.is_store_unavailable
 
     def _speaks_for_others(self, address: str) -> bool:
-        """Whether this zone hears only from this VM what the VM at ``address`` tells.
-
-        Its readers are told by those of other zones.
-        """
+        """Whether only this VM tells its zone what it hears from ``address``."""
         return self.is_store_unavailable and not self._is_near(address)
 
     def _check_own_read(self, notice: TableNotice) -> None:
@@ -302,12 +289,12 @@
             self._reads.read()
 
     def update_since(self, after: StoreVersion) -> TableUpdate:
-        """Return the changes after a version, the whole table if that is too old."""
+        """Return the changes after a version (see ``TableCopy``)."""
         return self._copy.update_since(after)
 
     def _update_reader_role(self) -> None:
-        """Start or stop reading a shared table, as ``_needs_own_read`` decides."""
-        needs_read = self._needs_own_read()
+        """Start or stop reading a shared table, as its role requires."""
+        needs_read = self._role.needs_read()
         if needs_read and not self._reads.is_reading:
             self._reads.read()
         elif (
@@ -316,21 +303,8 @@
             and self.is_loaded
             and not (self._is_news_read and self.is_behind)
         ):
-            self._stop_reading()
-
-    def _needs_own_read(self) -> bool:
-        now = self._loop.clock.now()
-        if now < self._starts_reading_at:
-            return False
-        return (
-            not self._settings.is_shared
-            or self._is_designated_reader()
-            or now - self._reader_heard_at > self._settings.timing.reader_timeout
-        )
-
-    def _stop_reading(self) -> None:
-        self._is_news_read = False
-        self._reads.stop()
+            self._is_news_read = False
+            self._reads.stop()
 
     def _announce_version(self) -> None:
         """Tell the zone of this copy, as a reader whose reads work."""
@@ -386,9 +360,9 @@
     def _continue_reading(self, update: TableUpdate, is_first: bool) -> None:
         """Schedule the read after one that returned ``update``."""
         self._is_news_read = False
-        if not self._needs_own_read():
+        if not self._role.needs_read():
             # It was read once for news of it.
-            self._stop_reading()
+            self._reads.stop()
             return
         delay = self._settings.coalescing_delay if update.rows else 0.0
         if is_first and self._settings.is_shared:
--- a/src/galenaferry/node/tests/test_leaving_instances.py
+++ b/src/galenaferry/node/tests/test_leaving_instances.py
@@ -1,5 +1,7 @@
 """Instances that leave while some VMs can't read from the store."""
 
+from random import Random
+
 import pytest
 
 from galenaferry.node.tests.configuration_fleet import ConfigurationFleet
@@ -25,10 +27,10 @@
         fleet.store.put_row("servers", name, row)
 
 
-def make_fleet(monkeypatch, bound, instances=8):
-    """Return a fleet of three zones that has ``instances`` of one service in use."""
+def make_fleet(monkeypatch, bound, instances=8, zones=3):
+    """Return a fleet of some zones that has ``instances`` of one service in use."""
     fleet = ConfigurationFleet(
-        monkeypatch, vms=9, zones=3, link_mbps=1_000.0, configuration_timeout=bound
+        monkeypatch, vms=9, zones=zones, link_mbps=1_000.0, configuration_timeout=bound
     )
     fleet.change(1, 2)
     list_instances(fleet, ids(instances), 1)
@@ -89,6 +91,37 @@
     assert sweep_moments(fleet, bound, refused, ids(3)) == {}
 
 
+@pytest.mark.parametrize("bound", BOUNDS_MS)
+def test_no_vm_uses_instances_past_the_drain_timeout_while_all_readers_are_refused(
+    monkeypatch, bound
+):
+    fleet = make_fleet(monkeypatch, bound, zones=1)
+    refused = {vm.host for vm in fleet.readers()}
+    assert len(refused) < len(fleet.vms)
+    assert sweep_moments(fleet, bound, refused, ids(3)) == {}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_no_vm_uses_instances_past_the_drain_timeout_while_a_third_is_refused_for_long(
+    monkeypatch, seed
+):
+    fleet = make_fleet(monkeypatch, 2_000.0)
+    random = Random(seed)
+    late = {}
+    for number in range(2, 12):
+        refused = random.sample(fleet.vms, 3)
+        fleet.store.refused = {vm.host for vm in refused}
+        fleet.run(random.uniform(0.0, 9_000.0))
+        fleet.store.remove_rows("servers", ids(3))
+        if hosts := used_after(fleet, ids(3), fleet.clock.now(), 2_000.0):
+            late[number] = hosts
+        fleet.store.refused = set()
+        fleet.run(SETTLE_MS)
+        list_instances(fleet, ids(3), number)
+        fleet.run(1_000.0)
+    assert late == {}
+
+
 def let_leases_expire(fleet, names, outage):
     """Let the store be away; meanwhile the rows of some instances are removed."""
     hosts = {vm.host for vm in fleet.vms}
