Keep the short limit on silence after a refused read

After any failed read a reader gave the next one 2 s more for its answer, though a refusal (503, 429 or a reset) says nothing of the store's speed. A reader whose connections went silent right after a refusal noticed that after 3.2 s with a drain timeout of 2 s instead of 1.5 s; two troubles added up to more than the bound that was derived for each alone.

Now only an answer that was slow, or none in time, makes the next limit long. The new test failed before (limit 2000 ms instead of 300 ms); 187 tests of discovery and of silent connections pass.

--- a/src/galenaferry/discovery/store_reads.py
+++ b/src/galenaferry/discovery/store_reads.py
@@ -169,14 +169,16 @@
     def _on_result(self, result: Result[TableUpdate | HistoryLost, TableError]) -> None:
         was_prompt = self._is_store_prompt
         took = self._loop.clock.now() - self._started_at
-        self._is_store_prompt = result.is_ok() and took <= self._wait + PROMPT_ANSWER_MS
         if isinstance(result, Err):
             error = result.err_value
+            # A refusal does not say that the next answer will be slow.
+            self._is_store_prompt = was_prompt and not error.has_timed_out
             if was_prompt and error.has_timed_out:
                 self._replace_silent_read(error)
             else:
                 self._on_error(error)
             return
+        self._is_store_prompt = took <= self._wait + PROMPT_ANSWER_MS
         if self.is_store_unavailable:
             self.is_store_unavailable = False
             log.info("store is available again", table=self._settings.table)
--- a/src/galenaferry/discovery/tests/test_silent_reads.py
+++ b/src/galenaferry/discovery/tests/test_silent_reads.py
@@ -120,3 +120,17 @@
     assert min(waits) < 0.5 * poll
     assert max(waits) <= poll
     assert len(set(waits)) == len(waits)
+
+
+def test_a_refused_read_does_not_let_the_next_one_be_silent_for_longer():
+    bench = make_reader()
+    bench.source.answer(table_update(10))
+    bench.run_for(1.0)
+    bench.source.fail()
+    calls = len(bench.source.calls)
+    bench.run_for(200.0)
+    assert len(bench.source.calls) == calls + 1
+    assert bench.source.limits[-1] == PROMPT_ANSWER_MS
+    end_silent_read(bench)
+    assert len(bench.source.calls) == calls + 2
+    assert bench.source.limits[-1] == READ_TIMEOUT_MS
