Leave time to send a request within the drain timeout

The bound on the age of the list of instances was the whole drain timeout: a VM could choose an instance at that moment, and its request arrived by the time of a new connection later. No request was seen late for this; it follows from the constants (poll 1.2 + silence 0.3 + delivery 0.5 = 2.0 s).

Reads of the instances' table are now derived from the drain timeout less the connect timeout of requests (300 ms): with 2 s a poll takes 0.9 s, and news arrives within 1.7 s. Below a drain timeout of 1.3 s that can't be met, which is logged as before below 1 s.

--- a/src/galenaferry/discovery/poll_timing.py
+++ b/src/galenaferry/discovery/poll_timing.py
@@ -17,6 +17,9 @@
 """Time for the read on a new connection and for the notices to the other VMs."""
 LONGEST_POLL_MS: Final[Millis] = 2_500.0
 SHORTEST_POLL_MS: Final[Millis] = 200.0
+SENDING_MS: Final[Millis] = 300.0
+"""Time from the choice of an instance until the request reaches it: the connect timeout
+of requests (``routing.hosts``)."""
 OWN_READ_MARGIN_MS: Final[Millis] = 250.0
 """Time before the bound at which a VM reads the table itself."""
 
@@ -70,3 +73,14 @@
     """
     poll = bound - PROMPT_ANSWER_MS - DELIVERY_MS
     return PollTiming(min(LONGEST_POLL_MS, max(SHORTEST_POLL_MS, poll)))
+
+
+def derive_instance_timing(drain_timeout: Millis) -> PollTiming:
+    """Return the times with which no request reaches an instance that has drained.
+
+    Parameters
+    ----------
+    drain_timeout : float
+        Time in milliseconds after which a draining instance must get no new requests.
+    """
+    return derive_poll_timing(drain_timeout - SENDING_MS)
--- a/src/galenaferry/discovery/tests/test_silent_reads.py
+++ b/src/galenaferry/discovery/tests/test_silent_reads.py
@@ -6,6 +6,8 @@
 from galenaferry.discovery.poll_timing import (
     DELIVERY_MS,
     PROMPT_ANSWER_MS,
+    SENDING_MS,
+    derive_instance_timing,
     derive_poll_timing,
 )
 from galenaferry.discovery.tests.builders import at, table_update
@@ -134,3 +136,14 @@
     end_silent_read(bench)
     assert len(bench.source.calls) == calls + 2
     assert bench.source.limits[-1] == READ_TIMEOUT_MS
+
+
+@pytest.mark.parametrize("drain_timeout", [1_300.0, 2_000.0, 2_500.0, 3_000.0, 5_000.0])
+def test_a_request_sent_on_the_latest_news_arrives_before_the_drain_timeout(
+    drain_timeout,
+):
+    timing = derive_instance_timing(drain_timeout)
+    assert timing.longest_without_news + SENDING_MS <= drain_timeout
+    assert timing.poll + PROMPT_ANSWER_MS < timing.reader_timeout
+    # A shorter drain timeout can't be met, which is logged at the start.
+    assert not derive_instance_timing(1_200.0).meets(1_200.0 - SENDING_MS)
--- a/src/galenaferry/node/tables.py
+++ b/src/galenaferry/node/tables.py
@@ -15,7 +15,12 @@
     decode_version,
 )
 from ..discovery.peer_updates import fetch_from_peer, respond_to_peer
-from ..discovery.poll_timing import PollTiming, derive_poll_timing
+from ..discovery.poll_timing import (
+    SENDING_MS,
+    PollTiming,
+    derive_instance_timing,
+    derive_poll_timing,
+)
 from ..discovery.registry import StoreAvailability
 from ..discovery.settings import FollowerSettings
 from ..logs import logger
@@ -122,8 +127,10 @@
                 CONFIGURATION_COALESCING_MS,
                 is_shared=True,
                 startup_delay=startup_delay,
-                timing=_derive_timing(
-                    adapter.tables.configuration, configuration_timeout
+                timing=_check_timing(
+                    adapter.tables.configuration,
+                    derive_poll_timing(configuration_timeout),
+                    configuration_timeout,
                 ),
             ),
             adapter.store,
@@ -142,7 +149,11 @@
                 INSTANCES_COALESCING_MS,
                 is_shared=True,
                 startup_delay=startup_delay,
-                timing=_derive_timing(adapter.tables.instances, drain_timeout),
+                timing=_check_timing(
+                    adapter.tables.instances,
+                    derive_instance_timing(drain_timeout),
+                    drain_timeout - SENDING_MS,
+                ),
             ),
             adapter.store,
             self._fetch_from_peer,
@@ -302,9 +313,8 @@
         return tuple(self._prepare_row(table, row) for row in rows)
 
 
-def _derive_timing(table: str, bound: Millis) -> PollTiming:
-    """Return the times of the reads of a table; log if they can't meet the bound."""
-    timing = derive_poll_timing(bound)
+def _check_timing(table: str, timing: PollTiming, bound: Millis) -> PollTiming:
+    """Return the times of the reads of a table; log if they don't meet the bound."""
     if not timing.meets(bound):
         log.warning(
             "changes of a table may become known too late",
