Let instances leave a soak unannounced while the store refuses some calls

The fault of the incident needs instances that never report that they drain, several of one service at once, and failed reads of single VMs around that time. The soak had only single instances that report it, and store faults that excuse every check of time.

Now a departure takes all instances of the service but one along in half of the cases, and in half of them the rows are removed without a report, within 2 s of a second in which the store refuses 0.6 of all calls. The check on leaving instances counts from the removal, and the refusals excuse nothing.

The check now knows which instances crashed after the request was sent; its new test has both sides.

--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from .fleet import Vm
 from .hostile import ODD_VALUES, HostilePeers
 from .instances import MODES, ExecutionRecord, Instance
+from .leaving import LeavingInstances
 from .ports import HARNESS_IP, find_free_port_block, is_listening
 from .proxy import DELAY_MS, Proxy
 from .proxy import FAULTS as LINK_FAULTS
@@ -49,7 +50,6 @@
 """Least time for which VMs are cut off from all instances."""
 RESTART_MS = 1_500.0
 """Time after which an instance that crashed is back."""
-STORE_TOLD_LATE_MS = 4_000.0
 MAX_SILENCE_MS = 400.0
 """Longest time for which the connections to the store are silent before a change."""
 STORE_FAULTS = ("refuse", "silent", "lose")
@@ -85,7 +85,9 @@
         self._version = 0
         self.store = Store(self.loop, (HARNESS_IP, port + 6))
         self._copies = deque([self.store.take_copy()], maxlen=COPIES)
-        self._leaving: list[Instance] = []
+        self._leaving = LeavingInstances(
+            self.loop, self.store, self.record.timing, seed, self._add_instance
+        )
         self.instances: list[Instance] = []
         self.proxy_by_name: dict[str, Proxy] = {}
         for service in ("one", "one", "one", "two", "two", "two"):
@@ -180,7 +182,8 @@
                 self.injected_faults.append(f"{instance.name} {instance.mode}")
                 self.loop.after(duration_ms, lambda: setattr(instance, "mode", "well"))
             case 7:
-                self._replace_instance(instance)
+                text = self._leaving.replace(instance, self.instances)
+                self.injected_faults.append(text)
             case 8 | 9:
                 self._inject_link_fault(duration_ms)
             case 11 if self._has_store_faults:
@@ -286,7 +289,7 @@
         """Bring the instance back, under the same id, after some time."""
         proxy = self.proxy_by_name[instance.name]
         proxy.go_down()
-        self.record.timing.on_instance_crash(instance.name)
+        self.record.timing.on_instance_crash(instance.name, self.loop.clock.now())
 
         def restart() -> None:
             instance.born += 1
@@ -312,7 +315,7 @@
     def _write_again(self) -> None:
         self.store.put("op", "config", self._configuration)
         rows = {i.name: i.row("ready") for i in self.instances}
-        rows |= {i.name: i.row("draining") for i in self._leaving}
+        rows |= self._leaving.rows()
         for table, key in list(self.store.value_by_row_key):
             if table == "servers" and key not in rows:
                 self.store.put("servers", key, None)
@@ -352,30 +355,6 @@
 
         self._run_loop_for(CHECK_MS)
 
-    def _replace_instance(self, instance: Instance) -> None:
-        """Drain and remove an instance and add a new one of the same service.
-
-        Its row is removed after the drain timeout of 2 s; its listener closes later.
-        """
-        self.injected_faults.append(f"{instance.name} leaves")
-        self.instances.remove(instance)
-        self._leaving.append(instance)
-        instance.is_leaving = True
-        self._add_instance(instance.service)
-        # Half of them tell the store late, when responses have said it for long.
-        delay_ms = self.random.choice((0.0, STORE_TOLD_LATE_MS))
-        self.loop.after(delay_ms, lambda: self._report_draining(instance))
-        self.loop.after(delay_ms + 2_500.0, lambda: self._remove_row(instance))
-        self.loop.after(delay_ms + 4_000.0, instance.close)
-
-    def _report_draining(self, instance: Instance) -> None:
-        self.store.put("servers", instance.name, instance.row("draining"))
-        self.record.timing.on_instance_draining(instance.name, self.loop.clock.now())
-
-    def _remove_row(self, instance: Instance) -> None:
-        self._leaving.remove(instance)
-        self.store.put("servers", instance.name, None)
-
     def _add_instance(self, service: str) -> None:
         self._last_port += 1
         name = f"i-{self._last_port}"
--- a/soak/store.py
+++ b/soak/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from random import Random
 from typing import NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
@@ -23,7 +24,8 @@
 
     ``fault`` is empty or one of ``refuse`` (respond 503 to new requests), ``silent``
     (never respond to new requests) and ``lose`` (handle a request, then close the
-    connection instead of responding with rows).
+    connection instead of responding with rows). Of new requests the part
+    ``refused_share``, from 0 to 1, is responded to with 503.
     """
 
     def __init__(self, loop: Loop, address: tuple[str, int]) -> None:
@@ -34,6 +36,8 @@
         self.version_by_row_key: dict[tuple[str, str], int] = {}
         self.oldest_version = 0
         self.fault = ""
+        self.refused_share = 0.0
+        self._refusal_random = Random(0)
         self.era = 1
         serve(loop, address, self._on_request)
 
@@ -82,7 +86,8 @@
     def _on_request(self, connection: ServerConnection) -> None:
         if self.fault == "silent" or connection.head is None:
             return
-        if self.fault == "refuse":
+        is_refused = self._refusal_random.random() < self.refused_share
+        if self.fault == "refuse" or is_refused:
             connection.respond(503, self._headers(), b"{}")
             return
         parts = urlsplit(connection.head.target.decode())
--- a/soak/tests/test_timing.py
+++ b/soak/tests/test_timing.py
@@ -191,7 +191,17 @@
 
 def test_what_an_instance_announced_before_it_crashed_does_not_bind_for_its_next_start():
     assert findings_of(*TOLD_OF_LEAVING, *RUNS_AFTER_DRAIN_TIMEOUT)
-    crash = "on_instance_crash", "i-1"
+    crash = "on_instance_crash", "i-1", 1_000.0
     assert not findings_of(*TOLD_OF_LEAVING, crash, *RUNS_AFTER_DRAIN_TIMEOUT)
     told_again = tuple((name, "q3", *rest) for name, _, *rest in TOLD_OF_LEAVING)
     assert findings_of(crash, *told_again, *RUNS_AFTER_DRAIN_TIMEOUT)
+
+
+@pytest.mark.parametrize(("crashed_at", "count"), [(9_400.0, 1), (9_600.0, 0)])
+def test_a_response_that_its_instance_broke_off_was_not_cut_by_the_stop(
+    crashed_at, count
+):
+    runs = "on_execution", "b1", "i-1", "one", 9_510.0
+    crash = "on_instance_crash", "i-1", crashed_at
+    events = (*SENT_AFTER_STOP, runs, crash, CONNECTION_LOST)
+    assert len(findings_of(*events)) == count
--- a/soak/timing.py
+++ b/soak/timing.py
@@ -79,6 +79,7 @@
         self._responding_instance_by_request: dict[str, str] = {}
         self._named_limit_by_instance: dict[str, NamedLimit] = {}
         self._limit_by_instance: dict[str, float] = {}
+        self._crashed_at_by_instance: dict[str, Millis] = {}
 
     def on_store_fault(self, begins_at: Millis, duration: Millis) -> None:
         """Excuse all violations during a store fault and the recovery from it."""
@@ -127,11 +128,13 @@
         self._fault_spans_by_vm.setdefault(vm, []).append(span)
         self._forget_announcements_to(vm)
 
-    def on_instance_crash(self, instance: str) -> None:
-        """Forget what an instance announced; started again, it has announced nothing.
+    def on_instance_crash(self, instance: str, now: Millis) -> None:
+        """Record that an instance broke off all of its responses.
 
-        VMs tell its starts apart by its row's ``born``.
+        Started again, it has announced nothing: VMs tell its starts apart by its row's
+        ``born``.
         """
+        self._crashed_at_by_instance[instance] = now
         for key in [key for key in self._leaving_told_at if key[1] == instance]:
             del self._leaving_told_at[key]
         self.on_limit_disturbed(instance)
@@ -215,6 +218,9 @@
         vm, sent_at = self._sent_by_request[request]
         if request in self._endless_requests and now >= sent_at + ROUTE_TIMEOUT_MS:
             return
+        instance = self._responding_instance_by_request.get(request, "")
+        if self._crashed_at_by_instance.get(instance, -math.inf) >= sent_at:
+            return
         stopped_at = self._stopped_at_by_vm.get(vm, math.inf)
         if sent_at < stopped_at + STOP_ACCEPT_MS and stopped_at <= now:
             text = f"{request} was cut by the graceful shutdown of {vm[0]}"
