Let readers forward at once what other zones have read

A reader waits 0.4 s after a read with changes. If it hears of the next change from another zone's reader in that time, it applies the rows, and its own next read starts after them and returns nothing. Its zone got them only from the check of that read, 0.65 s later.

A reader now forwards the rows of another zone's reader at once, once for each version, and does not send them again if its own read returns them too; it announces its version then.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -218,7 +218,8 @@
         self._peers.on_version(address, notice.version)
         if notice.version <= self.version:
             self._confirmation.confirm(notice.confirmed_at(now))
-            if self._speaks_for_others(address):
+            if self.is_store_unavailable and not self._is_near(address):
+                # Its zone hears only from this VM that the store answers others.
                 self.notices.announce_if_due()
             return
         if self._reads.is_reading:
@@ -236,7 +237,8 @@
             update = TableUpdate(notice.version, notice.rows, is_snapshot=False)
             self._apply(update, address, self._confirmation.last_confirmed_at)
             self._confirmation.confirm(notice.confirmed_at(now))
-            if self._speaks_for_others(address):
+            if not self._is_near(address):
+                # The next read of this VM starts after it and won't return it.
                 self.notices.forward(notice)
         elif self._relies_on_others:
             self._catch_up()
@@ -246,10 +248,6 @@
         """Whether changes reach this VM by way of other VMs alone."""
         return not self._reads.is_reading or self.is_store_unavailable
 
-    def _speaks_for_others(self, address: str) -> bool:
-        """Whether only this VM tells its zone what it hears from ``address``."""
-        return self.is_store_unavailable and not self._is_near(address)
-
     def _check_own_read(self, notice: TableNotice) -> None:
         """Replace a read that has missed what another reader's notice told.
 
--- a/src/galenaferry/discovery/reader_notices.py
+++ b/src/galenaferry/discovery/reader_notices.py
@@ -90,12 +90,13 @@
     def send_update(self, update: TableUpdate) -> None:
         """Send the rows that were read, or only the version of a large update.
 
-        An answer without changes confirms the copies of the other VMs. The notice
-        starts at the latest change of the copy, before the update is applied.
+        An answer without changes, or with changes that were told before, confirms the
+        copies of the other VMs. The notice starts at the latest change of the copy,
+        before the update is applied.
         """
         if not self._may_send():
             return
-        if not update.rows:
+        if not update.rows or update.changed_at <= self._told_version:
             if not update.is_snapshot:
                 self.announce()
             return
--- a/src/galenaferry/node/tests/test_leaving_instances.py
+++ b/src/galenaferry/node/tests/test_leaving_instances.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from galenaferry.discovery.poll_timing import DELIVERY_MS
 from galenaferry.node.tests.configuration_fleet import ConfigurationFleet
 from galenaferry.platform.tests.builders import entry_json
 
@@ -156,3 +157,29 @@
     list_instances(fleet, ids(4), 2)
     fleet.run(SETTLE_MS)
     assert all(vm.used_ids == set(ids(4)) for vm in fleet.vms)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_all_vms_hear_in_time_of_changes_that_closely_follow_each_other(
+    monkeypatch, seed
+):
+    """Guards against zones whose readers keep the news of other zones for themselves."""
+    fleet = make_fleet(monkeypatch, 2_000.0)
+    random = Random(seed)
+    late = {}
+    for number in range(2, 40):
+        # The readers of a zone then read at other times than those of the others.
+        fleet.store.refused = {vm.host for vm in fleet.in_zone("zone-1")}
+        fleet.run(random.uniform(0.0, 1_000.0))
+        list_instances(fleet, ids(1), number)
+        fleet.store.refused = set()
+        interval = random.uniform(0.0, 400.0)
+        fleet.run(interval)
+        fleet.store.remove_rows("servers", ids(1, first=1))
+        fleet.run(DELIVERY_MS)
+        hosts = {vm.host for vm in fleet.vms if "i-1" in vm.used_ids}
+        if hosts:
+            late[interval] = hosts
+        list_instances(fleet, ids(1, first=1), number)
+        fleet.run(random.uniform(600.0, 1_600.0))
+    assert late == {}
