Let the end of a zone's readers be no outage of the store

A VM whose readers have all ended reads the store itself after reader_timeout, at its next check (0.25 s), and its answer may take 0.3 s. With a drain timeout of 2 s that is up to 2.0 s after the last answer it heard of, and the store counted as away from 1.7 s. The VM's own first answer then looked like the end of an outage, so that many instances that leave in the next 2.3 s would stay in use.

The store now counts as away after longest_without_answer, the sum of these times. A lease takes three heartbeats of an instance (4.5 s) to expire, so that outages that matter are longer.

--- a/src/galenaferry/discovery/follower.py
+++ b/src/galenaferry/discovery/follower.py
@@ -25,6 +25,7 @@
 )
 from .outages import OutageDetector
 from .peer_fetches import FetchFromPeer, PeerFetches
+from .poll_timing import READER_CHECK_INTERVAL_MS
 from .reader_notices import ReaderNotices
 from .reader_role import ReaderRole
 from .readers import ANNOUNCE_INTERVAL_MS
@@ -32,8 +33,6 @@
 from .store_reads import StoreReads
 from .table_copy import TableCopy
 
-READER_CHECK_INTERVAL_MS: Final = 250.0
-"""Interval at which a VM checks whether it has to read a shared table itself."""
 NEWS_READ_DELAY_MS: Final = 1_000.0
 """Time in which other VMs should send changes of which a notice told, before the store
 is asked as well."""
@@ -98,7 +97,7 @@
         clock = loop.clock
         self._copy = TableCopy(settings.table)
         self._confirmation = Confirmation(clock)
-        self.outages = OutageDetector(clock, settings.timing.longest_without_news)
+        self.outages = OutageDetector(clock, settings.timing.longest_without_answer)
         self._reads = StoreReads(
             loop, settings, source, random, self._copy, self._confirmation, self
         )
--- a/src/galenaferry/discovery/outages.py
+++ b/src/galenaferry/discovery/outages.py
@@ -9,8 +9,9 @@
 class OutageDetector:
     """Outages of the store, judged by its answers to this VM and to other readers.
 
-    The store was away if nobody is known to have got an answer for longer than news
-    takes while it works. Failed reads alone prove no outage: others may be served.
+    The store was away if nobody is known to have got an answer for longer than it takes
+    a VM that hears of no reader to get its own. Failed reads alone prove no outage:
+    others may be served.
 
     Parameters
     ----------
--- a/src/galenaferry/discovery/poll_timing.py
+++ b/src/galenaferry/discovery/poll_timing.py
@@ -20,6 +20,8 @@
 SENDING_MS: Final[Millis] = 300.0
 """Time from the choice of an instance until the request reaches it: the connect timeout
 of requests (``routing.hosts``)."""
+READER_CHECK_INTERVAL_MS: Final[Millis] = 250.0
+"""Interval at which a VM checks whether it has to read a shared table itself."""
 OWN_READ_MARGIN_MS: Final[Millis] = 250.0
 """Time before the bound at which a VM reads the table itself."""
 
@@ -58,6 +60,11 @@
         """Age of a copy's confirmation from which a VM reads the table itself."""
         return self.longest_without_news - OWN_READ_MARGIN_MS
 
+    @property
+    def longest_without_answer(self) -> Millis:
+        """Longest time until a VM that hears of no reader has its own answer."""
+        return self.reader_timeout + READER_CHECK_INTERVAL_MS + PROMPT_ANSWER_MS
+
     def meets(self, bound: Millis) -> bool:
         """Whether news arrives within ``bound``."""
         return self.longest_without_news <= bound
--- a/src/galenaferry/discovery/tests/test_silent_reads.py
+++ b/src/galenaferry/discovery/tests/test_silent_reads.py
@@ -147,3 +147,14 @@
     assert timing.poll + PROMPT_ANSWER_MS < timing.reader_timeout
     # A shorter drain timeout can't be met, which is logged at the start.
     assert not derive_instance_timing(1_200.0).meets(1_200.0 - SENDING_MS)
+
+
+@pytest.mark.parametrize("drain_timeout", BOUNDS_MS)
+def test_the_first_own_read_after_the_end_of_all_readers_shows_no_outage(drain_timeout):
+    bench = make_non_reader(timing=derive_instance_timing(drain_timeout))
+    calls = len(bench.source.calls)
+    while len(bench.source.calls) == calls:
+        bench.run_for(1.0)
+    bench.run_for(bench.source.waits[-1] + PROMPT_ANSWER_MS - 1.0)
+    bench.source.answer(table_update(12, config=b"two"))
+    assert bench.follower.outages.back_at is None
--- a/src/galenaferry/node/tests/test_leaving_instances.py
+++ b/src/galenaferry/node/tests/test_leaving_instances.py
@@ -183,3 +183,25 @@
         list_instances(fleet, ids(1, first=1), number)
         fleet.run(random.uniform(600.0, 1_600.0))
     assert late == {}
+
+
+@pytest.mark.parametrize("bound", BOUNDS_MS)
+def test_the_end_of_all_readers_of_a_zone_is_no_outage_of_the_store(monkeypatch, bound):
+    fleet = make_fleet(monkeypatch, bound, instances=1)
+    random = Random(1)
+    away = {}
+    for number in range(8):
+        ended = [vm for vm in fleet.in_zone("zone-0") if vm in fleet.readers()]
+        for vm in ended:
+            vm.is_stopped = True
+            vm.tables.instances._reads.stop()
+        back_at = {vm.host: vm.tables.instances.outages.back_at for vm in fleet.vms}
+        fleet.run(2.0 * bound + random.uniform(0.0, 500.0))
+        for vm in fleet.vms:
+            is_running = not vm.is_stopped
+            if is_running and vm.tables.instances.outages.back_at != back_at[vm.host]:
+                away[number] = vm.host
+        for vm in ended:
+            fleet.restart(vm)
+        fleet.run(SETTLE_MS)
+    assert away == {}
