--- a/src/galenaferry/requests/attempt_runner.py
+++ b/src/galenaferry/requests/attempt_runner.py
@@ -179,9 +179,8 @@
             case Chosen(instance, is_borrowed):
                 if self._running is not None:
                     self._running.release()
-                running = RunningAttempt(self._owner, instance, is_borrowed)
-                self._running = running
-                self.send(running, route)
+                self._running = RunningAttempt(self._owner, instance, is_borrowed)
+                self.send(self._running, route)
             case Busy(until):
                 self._wait(route, until)
             case NoInstance():
@@ -218,8 +217,7 @@
 
     def send(self, running: RunningAttempt, route: Route) -> None:
         """Start an attempt."""
-        context = self._context
-        instance = running.instance
+        context, instance = self._context, running.instance
         running.list_state = context.list_state(instance)
         pool = context.directory.pool(instance)
         connection = pool.acquire(route.is_idempotent, self.share, self._request_id)
